--- a/src/main/java/dahliadeck/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/ReadWriteSplitter.java
@@ -1,8 +1,8 @@
 // The interface of this module (settings, events, actions) is SplitterApi.java, beside this file.
 // The design, with what was kept and what was added, is docs/design.md.
-package dahliadeck;
+package holdmux;
 
-import dahliadeck.SplitterApi.*;
+import holdmux.SplitterApi.*;
 import java.util.*;
 import java.util.function.Consumer;
 
--- a/src/main/java/dahliadeck/SplitterApi.java
+++ b/src/main/java/holdmux/SplitterApi.java
@@ -1,4 +1,4 @@
-package dahliadeck;
+package holdmux;
 
 import java.util.List;
 
--- a/src/main/java/dahliadeck/simhost/SettingsReader.java
+++ b/src/main/java/holdmux/simhost/SettingsReader.java
@@ -1,13 +1,13 @@
-package dahliadeck.simhost;
-
-import dahliadeck.SplitterApi.Consistency;
-import dahliadeck.SplitterApi.Effect;
-import dahliadeck.SplitterApi.Guards;
-import dahliadeck.SplitterApi.Limits;
-import dahliadeck.SplitterApi.RequestClass;
-import dahliadeck.SplitterApi.Rules;
-import dahliadeck.SplitterApi.Scope;
-import dahliadeck.SplitterApi.Settings;
+package holdmux.simhost;
+
+import holdmux.SplitterApi.Consistency;
+import holdmux.SplitterApi.Effect;
+import holdmux.SplitterApi.Guards;
+import holdmux.SplitterApi.Limits;
+import holdmux.SplitterApi.RequestClass;
+import holdmux.SplitterApi.Rules;
+import holdmux.SplitterApi.Scope;
+import holdmux.SplitterApi.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/dahliadeck/simhost/SimHost.java
+++ b/src/main/java/holdmux/simhost/SimHost.java
@@ -1,8 +1,8 @@
-package dahliadeck.simhost;
+package holdmux.simhost;
 
-import dahliadeck.ReadWriteSplitter;
-import dahliadeck.SplitterApi.Event;
-import dahliadeck.SplitterApi.Settings;
+import holdmux.ReadWriteSplitter;
+import holdmux.SplitterApi.Event;
+import holdmux.SplitterApi.Settings;
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
 import java.io.FileDescriptor;
@@ -35,7 +35,7 @@
     /** Plays batches from standard input until it ends. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar dahliadeck.jar simhost");
+            System.err.println("usage: java -jar holdmux.jar simhost");
             System.exit(2);
         }
         InputStream in = new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
@@ -47,7 +47,7 @@
             new SimHost().play(in, out);
             return 0;
         } catch (IOException | WireException e) {
-            err.println("dahliadeck: " + e.getMessage());
+            err.println("holdmux: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/dahliadeck/simhost/WireException.java
+++ b/src/main/java/holdmux/simhost/WireException.java
@@ -1,4 +1,4 @@
-package dahliadeck.simhost;
+package holdmux.simhost;
 
 /** Input that is not what the wire promises; the message is one plain line. */
 final class WireException extends RuntimeException {
--- a/src/test/java/dahliadeck/DefencesTest.java
+++ b/src/test/java/holdmux/DefencesTest.java
@@ -1,21 +1,21 @@
-package dahliadeck;
+package holdmux;
 
-import static dahliadeck.Front.ANY;
-import static dahliadeck.Front.KEYED;
-import static dahliadeck.Front.MS;
-import static dahliadeck.Front.UNSAFE;
-import static dahliadeck.Front.failed;
-import static dahliadeck.Front.line;
-import static dahliadeck.Front.refused;
-import static dahliadeck.Front.request;
-import static dahliadeck.Front.sends;
-import static dahliadeck.Front.sentTo;
-import static dahliadeck.Front.settings;
+import static holdmux.Front.ANY;
+import static holdmux.Front.KEYED;
+import static holdmux.Front.MS;
+import static holdmux.Front.UNSAFE;
+import static holdmux.Front.failed;
+import static holdmux.Front.line;
+import static holdmux.Front.refused;
+import static holdmux.Front.request;
+import static holdmux.Front.sends;
+import static holdmux.Front.sentTo;
+import static holdmux.Front.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dahliadeck.SplitterApi.*;
+import holdmux.SplitterApi.*;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/dahliadeck/Front.java
+++ b/src/test/java/holdmux/Front.java
@@ -1,6 +1,6 @@
-package dahliadeck;
+package holdmux;
 
-import dahliadeck.SplitterApi.*;
+import holdmux.SplitterApi.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/dahliadeck/OrdinaryPathTest.java
+++ b/src/test/java/holdmux/OrdinaryPathTest.java
@@ -1,19 +1,19 @@
-package dahliadeck;
+package holdmux;
 
-import static dahliadeck.Front.ANY;
-import static dahliadeck.Front.LONG;
-import static dahliadeck.Front.MS;
-import static dahliadeck.Front.OWN;
-import static dahliadeck.Front.UNSAFE;
-import static dahliadeck.Front.VIEW;
-import static dahliadeck.Front.request;
-import static dahliadeck.Front.sentTo;
-import static dahliadeck.Front.settings;
+import static holdmux.Front.ANY;
+import static holdmux.Front.LONG;
+import static holdmux.Front.MS;
+import static holdmux.Front.OWN;
+import static holdmux.Front.UNSAFE;
+import static holdmux.Front.VIEW;
+import static holdmux.Front.request;
+import static holdmux.Front.sentTo;
+import static holdmux.Front.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dahliadeck.SplitterApi.*;
+import holdmux.SplitterApi.*;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/dahliadeck/simhost/WireTest.java
+++ b/src/test/java/holdmux/simhost/WireTest.java
@@ -1,9 +1,9 @@
-package dahliadeck.simhost;
+package holdmux.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dahliadeck.SplitterApi.*;
+import holdmux.SplitterApi.*;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
