--- /dev/null
+++ b/src/main/java/holdmux/Main.java
@@ -0,0 +1,88 @@
+package holdmux;
+
+import holdmux.config.Config;
+import holdmux.config.ConfigException;
+import holdmux.core.Balancer;
+import holdmux.core.Clock;
+import holdmux.core.Counters;
+import holdmux.core.Deadlines;
+import holdmux.core.Fleet;
+import holdmux.core.Log;
+import holdmux.core.Workers;
+import holdmux.discovery.Watch;
+import holdmux.pg.PgFront;
+import holdmux.simhost.SimHost;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+
+/** Starts the pooler ({@code serve}) or the simulator's adapter ({@code simhost}). */
+public final class Main {
+    /** Threads for requests and probes: the requests that fit in the time-outs at several times the usual rate. */
+    private static final int MOST_WORKERS = 300;
+    /** Readiness does not wait longer for discovery: the cached list serves when the agent is down. */
+    private static final long DISCOVERY_MS = 1_000;
+    /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
+    private static final long ACCEPT_MS = 600;
+    /** All that was taken is answered by its deadline, 5 s at most, and SIGKILL comes 0.7 s after that. */
+    private static final long DRAIN_MS = 5_500;
+    private static final long LOOK_MS = 20;
+
+    private Main() {}
+
+    public static void main(String[] args) throws IOException {
+        String command = args.length == 1 ? args[0] : "";
+        if (command.equals("simhost")) {
+            System.exit(SimHost.run());
+        } else if (command.equals("serve")) {
+            try {
+                serve();
+            } catch (ConfigException e) {
+                System.err.println("holdmux: " + e.getMessage());
+                System.exit(1);
+            }
+        } else {
+            System.err.println("usage: java -jar holdmux.jar serve|simhost");
+            System.exit(2);
+        }
+    }
+
+    private static void serve() throws IOException {
+        Clock clock = new Clock();
+        Config config = Config.load(System.getenv(), clock.now());
+        Deadlines deadlines = new Deadlines(clock);
+        Counters counters = new Counters();
+        Workers workers = new Workers(MOST_WORKERS);
+        Fleet fleet = new Fleet(config.deployment().zones(), config.deployment().kinds());
+        Balancer balancer = new Balancer(config.deployment().settings(), config.seed(),
+                config.deployment().connectTimeoutNs(), clock, deadlines, counters, fleet, workers);
+        CountDownLatch ready = new CountDownLatch(1);
+        PgFront front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
+        balancer.listChanged(config.known(), true);
+        deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
+        Workers.thread("deadlines", deadlines::run).start();
+        Workers.thread("discovery", new Watch(config.discovery(), counters, list -> {
+            balancer.listChanged(list, false);
+            ready.countDown();
+        })).start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, counters), "drain"));
+        Log.info("holdmux " + config.name() + " serves at " + config.listen());
+        front.run();
+    }
+
+    /** SIGTERM: goes on accepting for a while, answers all that was taken, then lets the program end. */
+    private static void drain(PgFront front, Counters counters) {
+        try {
+            Log.info("draining");
+            long start = System.nanoTime();
+            Thread.sleep(ACCEPT_MS);
+            front.stopAccepting();
+            while (front.openClients() > 0 && System.nanoTime() - start < DRAIN_MS * Clock.MS) {
+                front.closeWhenIdle();
+                Thread.sleep(LOOK_MS);
+            }
+            Log.info("ends with " + front.openClients() + " clients; " + counters);
+        } catch (IOException | InterruptedException e) {
+            Log.error("the drain was cut short", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/config/Flattener.java
@@ -0,0 +1,61 @@
+package holdmux.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.json.JSONArray;
+import org.json.JSONObject;
+
+/**
+ * Brings nested JSON settings to the simulator's path=value form: a list of plain values is joined with commas, a
+ * list of objects puts its length under {@code .count} and its items under {@code .0}, {@code .1} and so on, and
+ * blanks and commas inside a value turn into {@code _}.
+ */
+final class Flattener {
+    private final Map<String, String> values = new TreeMap<>();
+
+    private Flattener() {}
+
+    static Map<String, String> flatten(JSONObject settings) {
+        Flattener flattener = new Flattener();
+        flattener.object("", settings);
+        return flattener.values;
+    }
+
+    private void object(String prefix, JSONObject object) {
+        for (String key : object.keySet()) {
+            value(prefix + key, object.get(key));
+        }
+    }
+
+    private void value(String path, Object value) {
+        if (value instanceof JSONObject nested) {
+            object(path + ".", nested);
+        } else if (value instanceof JSONArray list) {
+            list(path, list);
+        } else if (value != JSONObject.NULL) {
+            values.put(path, plain(value));
+        }
+    }
+
+    private void list(String path, JSONArray list) {
+        List<String> plain = new ArrayList<>();
+        for (int i = 0; i < list.length(); i++) {
+            if (list.get(i) instanceof JSONObject item) {
+                object(path + "." + i + ".", item);
+            } else {
+                plain.add(plain(list.get(i)));
+            }
+        }
+        if (plain.size() < list.length()) {
+            values.put(path + ".count", String.valueOf(list.length()));
+        } else {
+            values.put(path, String.join(",", plain));
+        }
+    }
+
+    private static String plain(Object value) {
+        return value.toString().replace(' ', '_').replace(',', '_');
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/config/HostList.java
@@ -0,0 +1,45 @@
+package holdmux.config;
+
+import holdmux.decision.SplitterApi.Availability;
+import java.util.ArrayList;
+import java.util.List;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/** Discovery's list of servers, whole or only what changed, as one document told it. */
+public record HostList(long seq, boolean whole, List<Host> hosts) {
+    /** One server; {@code dial} is host:port, {@code bornMs} is 0 for long ago. */
+    public record Host(String name, String dial, String site, String kind, int group, Availability availability,
+            double share, long bornMs, boolean primary) {}
+
+    /** Decodes one document; what does not have discovery's form is a {@link ConfigException}. */
+    public static HostList decode(String json) {
+        try {
+            return decode(new JSONObject(json));
+        } catch (JSONException e) {
+            throw new ConfigException("a list of hosts: " + e.getMessage());
+        }
+    }
+
+    static HostList decode(JSONObject list) {
+        JSONArray lines = list.getJSONArray("hosts");
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < lines.length(); i++) {
+            hosts.add(host(lines.getJSONObject(i)));
+        }
+        return new HostList(list.getLong("seq"), list.getBoolean("whole"), List.copyOf(hosts));
+    }
+
+    private static Host host(JSONObject line) {
+        Availability availability = switch (line.getString("health")) {
+            case "up" -> Availability.READY;
+            case "draining" -> Availability.DRAINING;
+            case "removed" -> Availability.GONE;
+            default -> throw new JSONException("unknown health " + line.getString("health"));
+        };
+        return new Host(line.getString("host"), line.optString("dial"), line.optString("site"),
+                line.optString("class"), line.optInt("block"), availability, line.optDouble("share", 1),
+                line.optLong("born_ms"), line.optString("replication").equals("primary"));
+    }
+}
--- a/src/main/java/holdmux/simhost/SettingsReader.java
+++ b/src/main/java/holdmux/config/SettingsReader.java
@@ -1,32 +1,50 @@
-package holdmux.simhost;
-
-import holdmux.SplitterApi.Consistency;
-import holdmux.SplitterApi.Effect;
-import holdmux.SplitterApi.Guards;
-import holdmux.SplitterApi.Limits;
-import holdmux.SplitterApi.RequestClass;
-import holdmux.SplitterApi.Rules;
-import holdmux.SplitterApi.Scope;
-import holdmux.SplitterApi.Settings;
+package holdmux.config;
+
+import holdmux.decision.SplitterApi.Consistency;
+import holdmux.decision.SplitterApi.Effect;
+import holdmux.decision.SplitterApi.Guards;
+import holdmux.decision.SplitterApi.Limits;
+import holdmux.decision.SplitterApi.RequestClass;
+import holdmux.decision.SplitterApi.Rules;
+import holdmux.decision.SplitterApi.Scope;
+import holdmux.decision.SplitterApi.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
-/** Reads the settings of an instance by name; keys that it does not know are ignored. */
-final class SettingsReader {
-    private final Map<String, String> values = new HashMap<>();
+/**
+ * Reads the settings of an instance by name; keys that it does not know are ignored. The simulator hands them
+ * over as path=value lines, the pooler's configuration as nested JSON that {@link Flattener} brings to that form.
+ */
+public final class SettingsReader {
+    private final Map<String, String> values;
 
-    private SettingsReader(String config) {
+    SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** The settings in path=value lines. */
+    public static Settings read(String config) {
+        Map<String, String> values = new HashMap<>();
         config.lines().filter(line -> line.indexOf('=') > 0).forEach(line -> {
             int at = line.indexOf('=');
             values.put(line.substring(0, at).strip(), line.substring(at + 1).strip());
         });
+        return new SettingsReader(values).settings();
     }
 
-    static Settings read(String config) {
-        return new SettingsReader(config).settings();
+    /** The names and figures that only the real pooler needs, beside what the module is told. */
+    Deployment deployment() {
+        int classes = (int) atLeast("request-classes.count", 1);
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < classes; i++) {
+            names.add(text("request-classes." + i + ".name"));
+        }
+        return new Deployment(settings(), List.copyOf(names), list("zones", ""), list("skus", ""),
+                list("report.fields", ""), atLeast("allowed.conn-idle-ns", 1),
+                atLeast("allowed.connect-timeout-ns", 1));
     }
 
     private Settings settings() {
@@ -46,7 +64,7 @@
         List<String> consistency = list("family-info.consistency", null);
         List<String> bounds = list("family-info.class-bound-ns", null);
         if (consistency.size() != count || bounds.size() != count) {
-            throw new WireException("settings: " + count + " classes, but " + consistency.size()
+            throw new ConfigException("settings: " + count + " classes, but " + consistency.size()
                     + " consistencies and " + bounds.size() + " bounds");
         }
         List<RequestClass> classes = new ArrayList<>();
@@ -90,7 +108,7 @@
     private String text(String key) {
         String value = values.get(key);
         if (value == null) {
-            throw new WireException("settings: " + key + " is missing");
+            throw new ConfigException("settings: " + key + " is missing");
         }
         return value;
     }
@@ -111,7 +129,7 @@
     private long atLeast(String key, long least) {
         long value = number(key);
         if (value < least) {
-            throw new WireException("settings: " + key + " is " + value + ", less than " + least);
+            throw new ConfigException("settings: " + key + " is " + value + ", less than " + least);
         }
         return value;
     }
@@ -120,7 +138,7 @@
         try {
             return Long.parseLong(value);
         } catch (NumberFormatException e) {
-            throw new WireException("settings: " + key + " is not a whole number: " + value);
+            throw new ConfigException("settings: " + key + " is not a whole number: " + value);
         }
     }
 
@@ -129,7 +147,7 @@
         try {
             return value == null ? absent : Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new WireException("settings: " + key + " is not a number: " + value);
+            throw new ConfigException("settings: " + key + " is not a number: " + value);
         }
     }
 
@@ -142,7 +160,7 @@
         try {
             return Enum.valueOf(type, value.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw new WireException("settings: " + key + " has the unknown value " + value);
+            throw new ConfigException("settings: " + key + " has the unknown value " + value);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/holdmux/core/Attempt.java
@@ -0,0 +1,76 @@
+package holdmux.core;
+
+import holdmux.decision.SplitterApi.Outcome;
+import java.io.Closeable;
+import java.io.IOException;
+
+/**
+ * One send to one server while it runs. The thread that carries it out blocks on the connection it has handed in;
+ * any other thread may cut it off, which closes that connection and so abandons the attempt.
+ */
+public final class Attempt {
+    public final long store;
+    public final long startedAt;
+    public final long limitNs;
+    /** The number of this attempt within its request. */
+    final int number;
+    private Closeable connection;
+    private Outcome cutAs;
+    private boolean written;
+    private boolean over;
+
+    Attempt(long store, int number, long startedAt, long limitNs) {
+        this.store = store;
+        this.number = number;
+        this.startedAt = startedAt;
+        this.limitNs = limitNs;
+    }
+
+    /** Puts the attempt on a connection; false, with the connection closed, if it was cut off before. */
+    public synchronized boolean carriedBy(Closeable connection) {
+        if (cutAs != null) {
+            close(connection);
+            return false;
+        }
+        this.connection = connection;
+        return true;
+    }
+
+    /** From the last byte on it may have run; false if it was cut off before. */
+    public synchronized void written() {
+        written = true;
+    }
+
+    /** Ends the attempt from outside, with the outcome it then has if its connection breaks. */
+    public synchronized void cut(Outcome as) {
+        if (!over && cutAs == null) {
+            cutAs = as;
+            close(connection);
+        }
+    }
+
+    /** The attempt has its whole answer: its connection is free, and a later cut does not touch it. */
+    public synchronized boolean complete() {
+        over = cutAs == null;
+        return over;
+    }
+
+    /** What a broken connection means, by the protocol's table: nothing ran until the last byte was written. */
+    public synchronized Outcome broken() {
+        over = true;
+        if (written) {
+            return cutAs == null ? Outcome.RESET : cutAs;
+        }
+        return cutAs == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
+    }
+
+    private static void close(Closeable connection) {
+        try {
+            if (connection != null) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            // closing is all that was wanted; the peer sees the end either way
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Balancer.java
@@ -0,0 +1,301 @@
+package holdmux.core;
+
+import holdmux.config.HostList;
+import holdmux.core.Counters.Counter;
+import holdmux.decision.ReadWriteSplitter;
+import holdmux.decision.SplitterApi.Action;
+import holdmux.decision.SplitterApi.Answered;
+import holdmux.decision.SplitterApi.Arrived;
+import holdmux.decision.SplitterApi.Checked;
+import holdmux.decision.SplitterApi.ClientLeft;
+import holdmux.decision.SplitterApi.CloseIdle;
+import holdmux.decision.SplitterApi.Decline;
+import holdmux.decision.SplitterApi.Event;
+import holdmux.decision.SplitterApi.Inspect;
+import holdmux.decision.SplitterApi.Outcome;
+import holdmux.decision.SplitterApi.Remark;
+import holdmux.decision.SplitterApi.RespondError;
+import holdmux.decision.SplitterApi.Retract;
+import holdmux.decision.SplitterApi.Schedule;
+import holdmux.decision.SplitterApi.Settings;
+import holdmux.decision.SplitterApi.Transmit;
+import holdmux.decision.SplitterApi.Wakeup;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongConsumer;
+
+/**
+ * The decision module behind one lock: events go in as they come, actions go to whom they concern. Knows neither
+ * PostgreSQL nor sockets; front ends reach it through {@link Exchange} and {@link Prober}.
+ */
+public final class Balancer {
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Fleet fleet;
+    private final Executor workers;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ReadWriteSplitter module;
+    private final long probeLimitNs;
+    private final Map<Long, Request> open = new HashMap<>();
+    private Prober prober;
+    private LongConsumer closeIdle;
+    private long lastId;
+
+    /** {@code probeLimitNs}: how long a probe may take. */
+    public Balancer(Settings settings, long seed, long probeLimitNs, Clock clock, Deadlines deadlines,
+            Counters counters, Fleet fleet, Executor workers) {
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.fleet = fleet;
+        this.workers = workers;
+        this.probeLimitNs = probeLimitNs;
+        module = new ReadWriteSplitter(settings, seed);
+    }
+
+    /** Names those who carry out probes and idle closes; before the first list. */
+    public void connect(Prober prober, LongConsumer closeIdle) {
+        this.prober = prober;
+        this.closeIdle = closeIdle;
+    }
+
+    public void listChanged(HostList list, boolean cached) {
+        lock.lock();
+        try {
+            feed(fleet.take(list, cached));
+            counters.count(Counter.LISTS_TAKEN);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A request that has come in whole; its life must be started, or be given up with {@link #left}. */
+    public Request taken(Request.Call call) {
+        lock.lock();
+        try {
+            counters.count(Counter.REQUESTS_TAKEN);
+            Request request = new Request(++lastId, call);
+            open.put(request.id, request);
+            return request;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * The life of one request, from its arrival to its one final answer: the module is told of it, its sends are
+     * carried out one at a time (it never has two out), and their outcomes go back before the client sees anything.
+     */
+    public void life(Request request, Exchange exchange) {
+        try {
+            arrived(request);
+            while (true) {
+                Request.Step step = request.next();
+                if (step instanceof Request.Send send) {
+                    Attempt attempt = send.attempt();
+                    Deadlines.Deadline timeOut = deadlines.at(attempt.startedAt + attempt.limitNs,
+                            () -> attempt.cut(Outcome.TIMEOUT));
+                    Reply reply = carryOut(exchange, attempt);
+                    deadlines.cancel(timeOut);
+                    answered(request, attempt, reply);
+                    if (reply.outcome() == Outcome.OK) {
+                        counters.count(Counter.SERVED);
+                        exchange.serve();
+                        return;
+                    }
+                } else if (step instanceof Request.End end && end.answer() instanceof Decline decline) {
+                    counters.count(Counter.REFUSED);
+                    exchange.refuse(decline.waitNs());
+                    return;
+                } else if (step instanceof Request.End) {
+                    counters.count(Counter.FAILED);
+                    exchange.fail();
+                    return;
+                } else {
+                    counters.count(Counter.CLIENTS_LEFT);
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            counters.count(Counter.ANSWERS_UNDELIVERED);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            forget(request);
+        }
+    }
+
+    private void arrived(Request request) {
+        Request.Call call = request.call;
+        lock.lock();
+        try {
+            if (request.over) {
+                return; // the client left before its request was begun
+            }
+            long now = clock.now();
+            long token = call.tokenPositionNs() == 0 ? 0 : Math.max(1, now - call.tokenPositionNs());
+            feed(new Arrived(request.id, call.classIndex(), call.retry(), call.remainingNs(), token, 0,
+                    call.session(), 0, call.group()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void answered(Request request, Attempt attempt, Reply reply) {
+        lock.lock();
+        try {
+            counters.count(outcomeCounter(reply.outcome()));
+            request.over |= reply.outcome() == Outcome.OK;
+            feed(new Answered(request.id, attempt.store, attempt.number, request.over, reply.outcome(),
+                    clock.now() - attempt.startedAt, reply.role(), reply.positionNs(), reply.report()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static Counter outcomeCounter(Outcome outcome) {
+        return Counter.valueOf("ATTEMPT_" + outcome.name());
+    }
+
+    /** The client has gone away; the module takes back what is still out for it. */
+    public void left(Request request) {
+        lock.lock();
+        try {
+            if (!request.over) {
+                request.over = true;
+                feed(new ClientLeft(request.id));
+                request.post(new Request.Left());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Carries out an attempt; a fault of ours on the way is the attempt's, not the program's. */
+    private Reply carryOut(Exchange exchange, Attempt attempt) {
+        try {
+            return exchange.attempt(attempt);
+        } catch (RuntimeException e) {
+            counters.count(Counter.INTERNAL_ERRORS);
+            Log.error("an attempt failed here", e);
+            return Reply.of(attempt.broken());
+        }
+    }
+
+    /** Drops a request whose life is over or could not be started. */
+    public void forget(Request request) {
+        lock.lock();
+        try {
+            open.remove(request.id);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void wakeup(int handle) {
+        lock.lock();
+        try {
+            feed(new Wakeup(handle));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void checked(long store, Reply reply, long latencyNs) {
+        lock.lock();
+        try {
+            feed(new Checked(store, reply.outcome(), latencyNs, reply.report()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** One event, at this moment; only with the lock held, and never from within the module. */
+    private void feed(Event event) {
+        try {
+            module.handle(clock.now(), List.of(event), this::route);
+        } catch (RuntimeException e) {
+            // a fault in a decision fails the request it was about, not the program
+            counters.count(Counter.INTERNAL_ERRORS);
+            Log.error("the decision module failed on " + event, e);
+            long id = event instanceof Arrived a ? a.id() : event instanceof Answered a ? a.id() : 0;
+            if (open.containsKey(id)) {
+                end(id, new RespondError(id));
+            }
+        }
+    }
+
+    private void route(Action action) {
+        if (action instanceof Transmit t) {
+            transmit(t);
+        } else if (action instanceof Retract r) {
+            Request request = open.get(r.id());
+            if (request != null) {
+                request.attempts.get(r.attempt()).cut(Outcome.CANCELLED);
+            }
+        } else if (action instanceof Decline d) {
+            end(d.id(), d);
+        } else if (action instanceof RespondError e) {
+            end(e.id(), e);
+        } else if (action instanceof Schedule s) {
+            deadlines.after(s.afterNs(), () -> wakeup(s.handle()));
+        } else if (action instanceof Inspect i) {
+            inspect(i.store());
+        } else if (action instanceof CloseIdle c) {
+            closeIdle.accept(c.store());
+        } else if (action instanceof Remark r) {
+            Log.info("module: " + r.words());
+        }
+        // Subscribe and ListAll: the watch runs from the start and needs no asking. MemoTo: there are no peers.
+    }
+
+    private void transmit(Transmit t) {
+        Request request = open.get(t.id());
+        Attempt attempt = new Attempt(t.store(), request.attempts.size(), clock.now(), t.limitNs());
+        request.attempts.add(attempt);
+        counters.count(Counter.ATTEMPTS);
+        request.post(new Request.Send(attempt));
+    }
+
+    private void end(long id, Action answer) {
+        Request request = open.get(id);
+        if (request != null && !request.over) {
+            request.over = true;
+            request.post(new Request.End(answer));
+        }
+    }
+
+    private void inspect(long store) {
+        counters.count(Counter.PROBES);
+        Attempt attempt = new Attempt(store, 0, clock.now(), probeLimitNs);
+        try {
+            workers.execute(() -> probe(attempt));
+        } catch (RejectedExecutionException e) {
+            // our own lack of threads says nothing of the server: as if it had been too busy to tell
+            deadlines.after(0, () -> checked(store, Reply.of(Outcome.FULL), 0));
+        }
+    }
+
+    private void probe(Attempt attempt) {
+        Deadlines.Deadline timeOut = deadlines.at(attempt.startedAt + attempt.limitNs,
+                () -> attempt.cut(Outcome.TIMEOUT));
+        Reply reply = Reply.of(Outcome.ERROR);
+        try {
+            reply = prober.probe(attempt);
+        } catch (RuntimeException e) {
+            counters.count(Counter.INTERNAL_ERRORS);
+            Log.error("a probe failed here", e);
+        }
+        deadlines.cancel(timeOut);
+        if (reply.outcome() != Outcome.OK) {
+            counters.count(Counter.PROBES_FAILED);
+        }
+        checked(attempt.store, reply, clock.now() - attempt.startedAt);
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Counters.java
@@ -0,0 +1,44 @@
+package holdmux.core;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts what the program takes in, sends and answers; docs/oncall.md says what each figure means. */
+public final class Counters {
+    /** One figure; its name on the outside is its own in lower case. */
+    public enum Counter {
+        CLIENTS_ACCEPTED, CLIENTS_TURNED_AWAY, CLIENTS_CLOSED, EMPTY_QUERIES, REQUESTS_TAKEN, BAD_INPUT,
+        SERVED, REFUSED, FAILED, CLIENTS_LEFT, ANSWERS_UNDELIVERED, OVER_CAPACITY,
+        ATTEMPTS, ATTEMPT_OK, ATTEMPT_ERROR, ATTEMPT_FULL, ATTEMPT_TIMEOUT, ATTEMPT_CONNECT_FAILED, ATTEMPT_RESET,
+        ATTEMPT_CANCELLED, ATTEMPT_MOOT, ATTEMPT_MISS,
+        PROBES, PROBES_FAILED, SERVER_CONNECTS, SERVER_REUSES, SERVER_IDLE_CLOSES, SERVER_STALE_CLOSES,
+        LISTS_TAKEN, WATCH_FAILURES, INTERNAL_ERRORS
+    }
+
+    private final Map<Counter, LongAdder> figures = new EnumMap<>(Counter.class);
+
+    public Counters() {
+        for (Counter counter : Counter.values()) {
+            figures.put(counter, new LongAdder());
+        }
+    }
+
+    public void count(Counter counter) {
+        figures.get(counter).increment();
+    }
+
+    public long get(Counter counter) {
+        return figures.get(counter).sum();
+    }
+
+    /** All figures as name=value, in one line. */
+    @Override
+    public String toString() {
+        StringBuilder line = new StringBuilder();
+        figures.forEach((counter, figure) -> line.append(line.isEmpty() ? "" : " ")
+                .append(counter.name().toLowerCase(Locale.ROOT)).append('=').append(figure.sum()));
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Fleet.java
@@ -0,0 +1,85 @@
+package holdmux.core;
+
+import holdmux.config.HostList;
+import holdmux.config.HostList.Host;
+import holdmux.decision.SplitterApi.Availability;
+import holdmux.decision.SplitterApi.ListChanged;
+import holdmux.decision.SplitterApi.ListMode;
+import holdmux.decision.SplitterApi.Listing;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.zip.CRC32;
+
+/** Who the servers are: the module's number and the present address of each, and the groups there are. */
+public final class Fleet {
+    private static final long MS = Clock.MS;
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Map<String, Long> stores = new HashMap<>();
+    private final Map<Long, String> names = new HashMap<>();
+    private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
+    private final Set<Integer> groups = new HashSet<>();
+
+    public Fleet(List<String> zones, List<String> kinds) {
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    /** Where a server listens now; null once it is gone. */
+    public synchronized InetSocketAddress address(long store) {
+        return addresses.get(store);
+    }
+
+    public synchronized boolean hasGroup(int group) {
+        return groups.contains(group);
+    }
+
+    public synchronized String name(long store) {
+        return names.get(store);
+    }
+
+    /** Takes in a list and tells it as the module's event; a whole list removes what it omits. */
+    synchronized ListChanged take(HostList list, boolean cached) {
+        if (list.whole()) {
+            Set<Long> listed = new HashSet<>();
+            list.hosts().forEach(host -> listed.add(store(host.name())));
+            addresses.keySet().retainAll(listed);
+        }
+        List<Listing> lines = new ArrayList<>();
+        for (Host host : list.hosts()) {
+            long store = store(host.name());
+            groups.add(host.group());
+            if (host.availability() == Availability.GONE) {
+                addresses.remove(store);
+            } else {
+                addresses.put(store, holdmux.config.Config.address(host.dial()));
+            }
+            lines.add(new Listing(store, host.group(), Math.max(0, zones.indexOf(host.site())),
+                    Math.max(0, kinds.indexOf(host.kind())), host.availability(), host.primary(),
+                    host.bornMs() * MS, host.share()));
+        }
+        ListMode mode = cached ? ListMode.CACHED : list.whole() ? ListMode.FULL : ListMode.DELTA;
+        return new ListChanged(mode, list.seq(), lines);
+    }
+
+    /** From the name alone, so that every pooler orders the servers alike; the module's choice of one rests on it. */
+    private long store(String name) {
+        return stores.computeIfAbsent(name, n -> {
+            CRC32 crc = new CRC32();
+            crc.update(n.getBytes(StandardCharsets.UTF_8));
+            long store = crc.getValue();
+            while (names.containsKey(store)) {
+                store++; // two names with one checksum must not become one server
+            }
+            names.put(store, n);
+            return store;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Log.java
@@ -0,0 +1,19 @@
+package holdmux.core;
+
+/** The program's log: one line an event on standard error. docs/oncall.md lists the lines. */
+public final class Log {
+    private Log() {}
+
+    public static void info(String words) {
+        System.err.println("info " + words);
+    }
+
+    public static void warn(String words) {
+        System.err.println("warn " + words);
+    }
+
+    public static void error(String words, Throwable cause) {
+        StackTraceElement[] trace = cause.getStackTrace();
+        System.err.println("error " + words + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Request.java
@@ -0,0 +1,49 @@
+package holdmux.core;
+
+import holdmux.decision.SplitterApi.Action;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** One client request as the core sees it; {@link Balancer#life} is its life. */
+public final class Request {
+    /** What the front end read of it; {@code tokenPositionNs} is 0 where the client carries none. */
+    public record Call(int classIndex, boolean retry, long remainingNs, long tokenPositionNs, long session,
+            int group) {}
+
+    /** What the life of the request must do next. */
+    sealed interface Step permits Send, End, Left {}
+
+    record Send(Attempt attempt) implements Step {}
+
+    /** The module's final answer. */
+    record End(Action answer) implements Step {}
+
+    /** The client has gone away: nothing is owed. */
+    record Left() implements Step {}
+
+    final long id;
+    final Call call;
+    private final Deque<Step> steps = new ArrayDeque<>(4);
+    /** Attempts by number, and whether nothing more is owed; both under the balancer's lock. */
+    final List<Attempt> attempts = new ArrayList<>(2);
+    boolean over;
+
+    Request(long id, Call call) {
+        this.id = id;
+        this.call = call;
+    }
+
+    synchronized void post(Step step) {
+        steps.add(step);
+        notifyAll();
+    }
+
+    synchronized Step next() throws InterruptedException {
+        while (steps.isEmpty()) {
+            wait();
+        }
+        return steps.poll();
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/Workers.java
@@ -0,0 +1,39 @@
+package holdmux.core;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Threads that carry requests and probes through: as many as there is work, up to a cap, and never a queue. */
+public final class Workers implements Executor {
+    /** The deepest stack is a statement's parse or the module's turn: a few dozen frames. */
+    private static final long STACK_BYTES = 256 * 1024;
+    /** An idle thread is kept through the lulls of a wave of requests. */
+    private static final long KEEP_S = 10;
+
+    private final ThreadPoolExecutor pool;
+
+    public Workers(int most) {
+        pool = new ThreadPoolExecutor(0, most, KEEP_S, TimeUnit.SECONDS, new SynchronousQueue<>(),
+                work -> thread("worker", work));
+    }
+
+    /** A platform thread with a small stack that does not keep the program alive. */
+    public static Thread thread(String name, Runnable work) {
+        Thread thread = new Thread(null, work, name, STACK_BYTES);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Starts the work at once, or throws {@link RejectedExecutionException} at the cap. */
+    @Override
+    public void execute(Runnable work) {
+        try {
+            pool.execute(work);
+        } catch (OutOfMemoryError e) {
+            throw new RejectedExecutionException("no thread to be had", e);
+        }
+    }
+}
--- a/src/main/java/holdmux/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -1,8 +1,8 @@
 // The interface of this module (settings, events, actions) is SplitterApi.java, beside this file.
 // The design, with what was kept and what was added, is docs/design.md.
-package holdmux;
+package holdmux.decision;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.util.*;
 import java.util.function.Consumer;
 
--- a/src/main/java/holdmux/SplitterApi.java
+++ b/src/main/java/holdmux/decision/SplitterApi.java
@@ -1,4 +1,4 @@
-package holdmux;
+package holdmux.decision;
 
 import java.util.List;
 
--- /dev/null
+++ b/src/main/java/holdmux/pg/Answer.java
@@ -0,0 +1,196 @@
+package holdmux.pg;
+
+import holdmux.core.Reply;
+import holdmux.decision.SplitterApi.Outcome;
+import holdmux.decision.SplitterApi.Role;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Parses a server's answer as its bytes come in, up to ReadyForQuery. The messages of a served answer (RowDescription,
+ * one DataRow, CommandComplete) lie together in the buffer and go on to the client as they are.
+ */
+final class Answer {
+    private static final long NS_PER_MS = 1_000_000L;
+    private static final int NONE = -1;
+
+    private final byte[] buffer;
+    private final List<String> reportFields;
+    private final long zeroNs;
+    private int parsed;
+    private int rowFrom = NONE, rowTo = NONE, valueFrom, valueLength = NONE;
+    private int rows;
+    private boolean described, complete, ready;
+    private String sqlState;
+    private Role role = Role.UNKNOWN;
+    private long positionNs;
+    private float[] report = Reply.NO_REPORT;
+
+    /** {@code zeroNs}: where positions in reports count from. */
+    Answer(byte[] buffer, List<String> reportFields, long zeroNs) {
+        this.buffer = buffer;
+        this.reportFields = reportFields;
+        this.zeroNs = zeroNs;
+    }
+
+    /** Parses what is whole of the buffer's first {@code length} bytes; true once ReadyForQuery has come. */
+    boolean parse(int length) throws ProtocolException {
+        while (!ready && length - parsed >= Message.HEAD) {
+            int size = ByteBuffer.wrap(buffer).getInt(parsed + 1);
+            if (size < 4 || size > buffer.length - parsed - 1) {
+                throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + size + " bytes");
+            }
+            if (length - parsed < 1 + size) {
+                return false;
+            }
+            message((char) buffer[parsed], parsed + Message.HEAD, parsed + 1 + size);
+            parsed += 1 + size;
+        }
+        if (ready && parsed < length) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "bytes after ReadyForQuery");
+        }
+        return ready;
+    }
+
+    private void message(char type, int from, int to) throws ProtocolException {
+        switch (type) {
+            case 'T' -> {
+                described = true;
+                rowFrom = from - Message.HEAD;
+            }
+            case 'D' -> row(from, to);
+            case 'C' -> {
+                complete = true;
+                rowTo = to;
+            }
+            case 'E' -> sqlState = sqlState(from, to);
+            case 'S' -> parameter(from, to);
+            case 'Z' -> ready = true;
+            case 'I', 'N', 'R', 'K' -> { }
+            default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of type " + (int) type);
+        }
+    }
+
+    private void row(int from, int to) throws ProtocolException {
+        rows++;
+        ByteBuffer row = ByteBuffer.wrap(buffer, from, to - from);
+        if (row.remaining() < 6 || row.getShort() != 1) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a row that is not one column");
+        }
+        valueLength = row.getInt();
+        valueFrom = row.position();
+        if (valueLength < NONE || Math.max(0, valueLength) != row.remaining()) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a column does not fill its row");
+        }
+    }
+
+    /** The code field of an ErrorResponse; an error without one is an error all the same. */
+    private String sqlState(int from, int to) {
+        int at = from;
+        while (at < to && buffer[at] != 0) {
+            int end = zero(at + 1, to);
+            if (buffer[at] == 'C') {
+                return text(at + 1, end);
+            }
+            at = end + 1;
+        }
+        return "";
+    }
+
+    private void parameter(int from, int to) {
+        int nameEnd = zero(from, to);
+        String name = text(from, nameEnd);
+        String value = text(Math.min(nameEnd + 1, to), zero(nameEnd + 1, to));
+        switch (name) {
+            case "replication_role" -> role = value.equals("primary") ? Role.PRIMARY
+                    : value.equals("standby") ? Role.REPLICA : Role.UNKNOWN;
+            case "log_position" -> positionNs = positionNs(value);
+            case "pressure" -> report = report(value);
+            default -> { }
+        }
+    }
+
+    private static long positionNs(String value) {
+        try {
+            long ms = Long.parseLong(value);
+            return ms > 0 && ms < Long.MAX_VALUE / NS_PER_MS ? ms * NS_PER_MS : 0;
+        } catch (NumberFormatException e) {
+            return 0; // a position that cannot be read is one that was not told
+        }
+    }
+
+    /** Values in the order of the settings' fields; a report that lacks one or cannot be read was not told. */
+    private float[] report(String value) {
+        float[] values = new float[reportFields.size()];
+        int found = 0;
+        for (String pair : value.split(",")) {
+            int equals = pair.indexOf('=');
+            int field = equals < 0 ? NONE : field(pair.substring(0, equals).strip());
+            if (field >= 0) {
+                try {
+                    double figure = Double.parseDouble(pair.substring(equals + 1));
+                    values[field] = (float) (reportFields.get(field).equals("x0") ? figure - zeroNs / 1e9 : figure);
+                    found++;
+                } catch (NumberFormatException e) {
+                    return Reply.NO_REPORT;
+                }
+            }
+        }
+        return found == values.length ? values : Reply.NO_REPORT;
+    }
+
+    /** The settings have names of their own for two of the fields that a report carries. */
+    private int field(String name) {
+        return reportFields.indexOf(switch (name) {
+            case "inflight" -> "outstanding";
+            case "util" -> "utilization";
+            default -> name;
+        });
+    }
+
+    private int zero(int from, int to) {
+        int at = from;
+        while (at < to && buffer[at] != 0) {
+            at++;
+        }
+        return at;
+    }
+
+    private String text(int from, int to) {
+        return from >= to ? "" : new String(buffer, from, to - from, StandardCharsets.UTF_8);
+    }
+
+    /** Whether a whole row came with its CommandComplete, even if the connection broke after that. */
+    boolean served() {
+        return described && rows == 1 && complete && sqlState == null;
+    }
+
+    String sqlState() {
+        return sqlState;
+    }
+
+    /** What the answer to a request means, by the protocol's table. */
+    Reply reply() {
+        Outcome outcome = served() ? Outcome.OK : sqlState == null ? Outcome.ERROR : switch (sqlState) {
+            case SqlState.READ_ONLY_SQL_TRANSACTION, SqlState.SNAPSHOT_TOO_OLD -> Outcome.MISS;
+            case SqlState.TOO_MANY_CONNECTIONS -> Outcome.FULL;
+            default -> Outcome.ERROR;
+        };
+        return new Reply(outcome, role, positionNs, report);
+    }
+
+    /** What the answer to SHOW pressure means: the report is the row's value. */
+    Reply probeReply() {
+        if (served() && valueLength >= 0) {
+            return new Reply(Outcome.OK, role, positionNs, report(text(valueFrom, valueFrom + valueLength)));
+        }
+        boolean busy = SqlState.TOO_MANY_CONNECTIONS.equals(sqlState) || SqlState.CANNOT_CONNECT_NOW.equals(sqlState);
+        return Reply.of(busy ? Outcome.FULL : Outcome.ERROR);
+    }
+
+    /** Adds the messages of a served answer. */
+    void writeTo(Message message) {
+        message.put(buffer, rowFrom, rowTo - rowFrom);
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/pg/ServerPool.java
@@ -0,0 +1,252 @@
+package holdmux.pg;
+
+import holdmux.config.Deployment;
+import holdmux.core.Attempt;
+import holdmux.core.Clock;
+import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Deadlines;
+import holdmux.core.Deadlines.Deadline;
+import holdmux.core.Fleet;
+import holdmux.core.Prober;
+import holdmux.core.Reply;
+import holdmux.decision.SplitterApi.Outcome;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Connections to servers, kept while idle and used again, the latest first; carries out attempts and probes. */
+final class ServerPool implements Prober {
+    /** Part of the servers' idle time after which we close first: half leaves no race with the server's close. */
+    private static final int IDLE_PART = 2;
+
+    private record Idle(ServerConnection connection, Deadline close) {}
+
+    private final Fleet fleet;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Buffers buffers;
+    private final Deployment deployment;
+    private final int most;
+    private final Map<Long, Deque<Idle>> idle = new HashMap<>();
+    private int held;
+
+    /** {@code most}: connections at once. */
+    ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
+            Deployment deployment, int most) {
+        this.fleet = fleet;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.buffers = buffers;
+        this.deployment = deployment;
+        this.most = most;
+    }
+
+    /** What one use of a connection says and hears. */
+    interface Talk {
+        void compose(Message message);
+
+        /** Takes the whole answer; the buffer is the talk's from now on, to be given back. */
+        Reply heard(Answer answer, byte[] buffer);
+    }
+
+    /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
+    Reply talk(Attempt attempt, Talk talk) {
+        ServerConnection connection = null;
+        byte[] buffer = null;
+        boolean clean = false;
+        try {
+            buffer = buffers.take();
+            connection = take(attempt.store);
+            if (connection != null) {
+                counters.count(Counter.SERVER_REUSES);
+                if (!attempt.carriedBy(connection)) {
+                    return Reply.of(attempt.broken());
+                }
+            } else {
+                connection = connection(attempt.store);
+                if (connection == null) {
+                    return Reply.of(Outcome.MOOT); // never sent, and the server is not to blame
+                }
+                String refusal = open(connection, attempt, buffer);
+                if (refusal != null) {
+                    boolean full = refusal.equals(SqlState.TOO_MANY_CONNECTIONS);
+                    return Reply.of(full ? Outcome.FULL : Outcome.CONNECT_FAILED);
+                }
+            }
+            Message message = new Message(buffer);
+            talk.compose(message);
+            connection.send(message);
+            attempt.written();
+            buffers.give(buffer);
+            buffer = null;
+            byte[] head = new byte[Message.HEAD];
+            int got = connection.awaitFirst(head);
+            buffer = buffers.take();
+            System.arraycopy(head, 0, buffer, 0, got);
+            Answer answer = answer(buffer);
+            try {
+                connection.receive(buffer, got, answer);
+                clean = attempt.complete();
+            } catch (IOException e) {
+                if (!answer.served()) {
+                    throw e;
+                }
+                // the row was whole; what broke after it does not take it back
+                attempt.complete();
+            }
+            Reply reply = talk.heard(answer, buffer);
+            buffer = null;
+            return reply;
+        } catch (IOException | ProtocolException e) {
+            return Reply.of(attempt.broken());
+        } finally {
+            if (buffer != null) {
+                buffers.give(buffer);
+            }
+            if (connection != null) {
+                release(connection, clean);
+            }
+        }
+    }
+
+    private Answer answer(byte[] buffer) {
+        return new Answer(buffer, deployment.reportFields(), deployment.settings().zeroNs());
+    }
+
+    /** Null, or the SQLSTATE with which the server turned the connection away. */
+    private String open(ServerConnection connection, Attempt attempt, byte[] buffer)
+            throws IOException, ProtocolException {
+        counters.count(Counter.SERVER_CONNECTS);
+        if (!attempt.carriedBy(connection)) {
+            throw new IOException("cut off before it was sent");
+        }
+        Deadline timeOut = deadlines.after(deployment.connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
+        Answer greeting = answer(buffer);
+        try {
+            connection.open(buffer, greeting);
+        } catch (IOException e) {
+            if (greeting.sqlState() == null) {
+                throw e; // else the server said why it closed
+            }
+        } finally {
+            deadlines.cancel(timeOut);
+        }
+        return greeting.sqlState();
+    }
+
+    @Override
+    public Reply probe(Attempt attempt) {
+        return talk(attempt, new Talk() {
+            @Override
+            public void compose(Message message) {
+                message.begin('Q').put("SHOW pressure").end();
+            }
+
+            @Override
+            public Reply heard(Answer answer, byte[] buffer) {
+                Reply reply = answer.probeReply();
+                buffers.give(buffer);
+                return reply;
+            }
+        });
+    }
+
+    /** An idle connection that still stands, or null. */
+    private ServerConnection take(long store) {
+        while (true) {
+            Idle found;
+            synchronized (this) {
+                Deque<Idle> of = idle.get(store);
+                found = of == null ? null : of.pollLast();
+            }
+            if (found == null) {
+                return null;
+            }
+            deadlines.cancel(found.close());
+            ServerConnection connection = found.connection();
+            if (connection.address.equals(fleet.address(store)) && connection.clean()) {
+                return connection;
+            }
+            counters.count(Counter.SERVER_STALE_CLOSES);
+            discard(connection);
+        }
+    }
+
+    /** A new connection, not yet opened; null if the server is gone or this pooler holds all it may. */
+    private ServerConnection connection(long store) throws IOException {
+        InetSocketAddress address = fleet.address(store);
+        if (address == null || !reserve()) {
+            return null;
+        }
+        try {
+            return new ServerConnection(store, address);
+        } catch (IOException e) {
+            unreserve();
+            throw e;
+        }
+    }
+
+    private boolean reserve() {
+        synchronized (this) {
+            if (held < most) {
+                held++;
+                return true;
+            }
+        }
+        counters.count(Counter.OVER_CAPACITY);
+        return false;
+    }
+
+    private synchronized void unreserve() {
+        held--;
+    }
+
+    private void discard(ServerConnection connection) {
+        connection.close();
+        unreserve();
+    }
+
+    private void release(ServerConnection connection, boolean clean) {
+        if (!clean) {
+            discard(connection);
+            return;
+        }
+        synchronized (this) {
+            Deque<Idle> of = idle.computeIfAbsent(connection.store, s -> new ArrayDeque<>());
+            long closeAt = clock.now() + deployment.connIdleNs() / IDLE_PART;
+            of.addLast(new Idle(connection, deadlines.at(closeAt, () -> closeIdle(connection))));
+        }
+    }
+
+    private void closeIdle(ServerConnection connection) {
+        boolean was;
+        synchronized (this) {
+            Deque<Idle> of = idle.get(connection.store);
+            was = of.removeIf(i -> i.connection() == connection);
+        }
+        if (was) {
+            counters.count(Counter.SERVER_IDLE_CLOSES);
+            discard(connection);
+        }
+    }
+
+    /** Closes all idle connections to a server. */
+    void closeAllIdle(long store) {
+        Deque<Idle> of;
+        synchronized (this) {
+            of = idle.remove(store);
+        }
+        if (of != null) {
+            of.forEach(i -> {
+                deadlines.cancel(i.close());
+                discard(i.connection());
+            });
+        }
+    }
+}
--- a/src/main/java/holdmux/simhost/SimHost.java
+++ b/src/main/java/holdmux/simhost/SimHost.java
@@ -1,8 +1,10 @@
 package holdmux.simhost;
 
-import holdmux.ReadWriteSplitter;
-import holdmux.SplitterApi.Event;
-import holdmux.SplitterApi.Settings;
+import holdmux.config.ConfigException;
+import holdmux.config.SettingsReader;
+import holdmux.decision.ReadWriteSplitter;
+import holdmux.decision.SplitterApi.Event;
+import holdmux.decision.SplitterApi.Settings;
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
 import java.io.FileDescriptor;
@@ -32,21 +34,17 @@
     private final Map<Integer, Front> fronts = new HashMap<>();
     private final List<Integer> touched = new ArrayList<>();
 
-    /** Plays batches from standard input until it ends. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar holdmux.jar simhost");
-            System.exit(2);
-        }
+    /** Plays batches from standard input until it ends; the exit status. */
+    public static int run() {
         InputStream in = new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16);
-        System.exit(run(in, new FileOutputStream(FileDescriptor.out), System.err));
+        return run(in, new FileOutputStream(FileDescriptor.out), System.err);
     }
 
     static int run(InputStream in, OutputStream out, java.io.PrintStream err) {
         try {
             new SimHost().play(in, out);
             return 0;
-        } catch (IOException | WireException e) {
+        } catch (IOException | WireException | ConfigException e) {
             err.println("holdmux: " + e.getMessage());
             return 1;
         }
--- a/src/test/java/holdmux/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -1,21 +1,21 @@
-package holdmux;
+package holdmux.decision;
 
-import static holdmux.Front.ANY;
-import static holdmux.Front.KEYED;
-import static holdmux.Front.MS;
-import static holdmux.Front.UNSAFE;
-import static holdmux.Front.failed;
-import static holdmux.Front.line;
-import static holdmux.Front.refused;
-import static holdmux.Front.request;
-import static holdmux.Front.sends;
-import static holdmux.Front.sentTo;
-import static holdmux.Front.settings;
+import static holdmux.decision.Front.ANY;
+import static holdmux.decision.Front.KEYED;
+import static holdmux.decision.Front.MS;
+import static holdmux.decision.Front.UNSAFE;
+import static holdmux.decision.Front.failed;
+import static holdmux.decision.Front.line;
+import static holdmux.decision.Front.refused;
+import static holdmux.decision.Front.request;
+import static holdmux.decision.Front.sends;
+import static holdmux.decision.Front.sentTo;
+import static holdmux.decision.Front.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/holdmux/Front.java
+++ b/src/test/java/holdmux/decision/Front.java
@@ -1,6 +1,6 @@
-package holdmux;
+package holdmux.decision;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/holdmux/OrdinaryPathTest.java
+++ b/src/test/java/holdmux/decision/OrdinaryPathTest.java
@@ -1,19 +1,19 @@
-package holdmux;
+package holdmux.decision;
 
-import static holdmux.Front.ANY;
-import static holdmux.Front.LONG;
-import static holdmux.Front.MS;
-import static holdmux.Front.OWN;
-import static holdmux.Front.UNSAFE;
-import static holdmux.Front.VIEW;
-import static holdmux.Front.request;
-import static holdmux.Front.sentTo;
-import static holdmux.Front.settings;
+import static holdmux.decision.Front.ANY;
+import static holdmux.decision.Front.LONG;
+import static holdmux.decision.Front.MS;
+import static holdmux.decision.Front.OWN;
+import static holdmux.decision.Front.UNSAFE;
+import static holdmux.decision.Front.VIEW;
+import static holdmux.decision.Front.request;
+import static holdmux.decision.Front.sentTo;
+import static holdmux.decision.Front.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.util.HashSet;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/holdmux/RulesTest.java
+++ b/src/test/java/holdmux/decision/RulesTest.java
@@ -1,11 +1,11 @@
-package holdmux;
+package holdmux.decision;
 
-import static holdmux.Front.MS;
+import static holdmux.decision.Front.MS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -131,7 +131,7 @@
 
     @Test
     void theModuleKeepsItsSize() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/holdmux/ReadWriteSplitter.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/holdmux/decision/ReadWriteSplitter.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= 850, filled + " lines that are not blank");
         lines.forEach(line -> assertTrue(line.length() <= 110, "too long: " + line));
--- a/src/test/java/holdmux/simhost/WireTest.java
+++ b/src/test/java/holdmux/simhost/WireTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdmux.SplitterApi.*;
+import holdmux.decision.SplitterApi.*;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
