--- a/src/main/java/holdmux/config/HostList.java
+++ b/src/main/java/holdmux/config/HostList.java
@@ -1,6 +1,7 @@
 package holdmux.config;
 
 import holdmux.decision.SplitterApi.Availability;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import org.json.JSONArray;
@@ -9,8 +10,8 @@
 
 /** Discovery's list of servers, whole or only what changed, as one document told it. */
 public record HostList(long seq, boolean whole, List<Host> hosts) {
-    /** One server; {@code dial} is host:port, {@code bornMs} is 0 for long ago. */
-    public record Host(String name, String dial, String site, String kind, int group, Availability availability,
+    /** One server; {@code dial} is null for one that is gone, {@code bornMs} is 0 for long ago. */
+    public record Host(String name, InetSocketAddress dial, String site, String kind, int group, Availability availability,
             double share, long bornMs, boolean primary) {}
 
     /** Decodes one document; what does not have discovery's form is a {@link ConfigException}. */
@@ -38,8 +39,10 @@
             case "removed" -> Availability.GONE;
             default -> throw new JSONException("unknown health " + line.getString("health"));
         };
-        return new Host(line.getString("host"), line.optString("dial"), line.optString("site"),
-                line.optString("class"), line.optInt("block"), availability, line.optDouble("share", 1),
-                line.optLong("born_ms"), line.optString("replication").equals("primary"));
+        return new Host(line.getString("host"),
+                availability == Availability.GONE ? null : Config.address(line.getString("dial")),
+                line.optString("site"), line.optString("class"), line.getInt("block"), availability,
+                line.optDouble("share", 1), line.optLong("born_ms"),
+                line.optString("replication").equals("primary"));
     }
 }
--- a/src/main/java/holdmux/core/Attempt.java
+++ b/src/main/java/holdmux/core/Attempt.java
@@ -36,7 +36,7 @@
         return true;
     }
 
-    /** From the last byte on it may have run; false if it was cut off before. */
+    /** From the last byte on it may have run. */
     public synchronized void written() {
         written = true;
     }
@@ -64,6 +64,12 @@
         return cutAs == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
     }
 
+    /** What it means that this program itself had no room to go on: the server is not to blame. */
+    public synchronized Outcome droppedHere() {
+        over = true;
+        return written ? Outcome.CANCELLED : Outcome.MOOT;
+    }
+
     private static void close(Closeable connection) {
         try {
             if (connection != null) {
--- a/src/main/java/holdmux/core/Fleet.java
+++ b/src/main/java/holdmux/core/Fleet.java
@@ -59,7 +59,7 @@
             if (host.availability() == Availability.GONE) {
                 addresses.remove(store);
             } else {
-                addresses.put(store, holdmux.config.Config.address(host.dial()));
+                addresses.put(store, host.dial());
             }
             lines.add(new Listing(store, host.group(), Math.max(0, zones.indexOf(host.site())),
                     Math.max(0, kinds.indexOf(host.kind())), host.availability(), host.primary(),
--- a/src/main/java/holdmux/pg/Answer.java
+++ b/src/main/java/holdmux/pg/Answer.java
@@ -15,7 +15,10 @@
     private static final long NS_PER_MS = 1_000_000L;
     private static final int NONE = -1;
 
-    private final byte[] buffer;
+    /** How answers are to be read: the fields of reports, and where positions in reports count from. */
+    record Form(List<String> reportFields, long zeroNs) {}
+
+    final byte[] buffer;
     private final List<String> reportFields;
     private final long zeroNs;
     private int parsed;
@@ -27,11 +30,10 @@
     private long positionNs;
     private float[] report = Reply.NO_REPORT;
 
-    /** {@code zeroNs}: where positions in reports count from. */
-    Answer(byte[] buffer, List<String> reportFields, long zeroNs) {
+    Answer(byte[] buffer, Form form) {
         this.buffer = buffer;
-        this.reportFields = reportFields;
-        this.zeroNs = zeroNs;
+        reportFields = form.reportFields();
+        zeroNs = form.zeroNs();
     }
 
     /** Parses what is whole of the buffer's first {@code length} bytes; true once ReadyForQuery has come. */
@@ -56,11 +58,16 @@
     private void message(char type, int from, int to) throws ProtocolException {
         switch (type) {
             case 'T' -> {
+                inOrder(!described);
                 described = true;
                 rowFrom = from - Message.HEAD;
             }
-            case 'D' -> row(from, to);
+            case 'D' -> {
+                inOrder(described && !complete);
+                row(from, to);
+            }
             case 'C' -> {
+                inOrder(!complete);
                 complete = true;
                 rowTo = to;
             }
@@ -72,6 +79,12 @@
         }
     }
 
+    private static void inOrder(boolean yes) throws ProtocolException {
+        if (!yes) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "messages of a result out of order");
+        }
+    }
+
     private void row(int from, int to) throws ProtocolException {
         rows++;
         ByteBuffer row = ByteBuffer.wrap(buffer, from, to - from);
@@ -161,6 +174,11 @@
         return from >= to ? "" : new String(buffer, from, to - from, StandardCharsets.UTF_8);
     }
 
+    /** Whether the answer came to its end, so that its connection is free for the next request. */
+    boolean whole() {
+        return ready;
+    }
+
     /** Whether a whole row came with its CommandComplete, even if the connection broke after that. */
     boolean served() {
         return described && rows == 1 && complete && sqlState == null;
--- a/src/main/java/holdmux/pg/Buffers.java
+++ b/src/main/java/holdmux/pg/Buffers.java
@@ -14,6 +14,11 @@
     /** Waiting longer than this for a buffer helps nobody: the tightest aim of a class is some 300 ms. */
     private static final long WAIT_MS = 100;
 
+    /** No buffer was to be had in time; says nothing of any peer. */
+    static final class NoneFree extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     private final ArrayDeque<byte[]> free = new ArrayDeque<>();
     private final Semaphore permits;
 
@@ -21,14 +26,15 @@
         permits = new Semaphore(most);
     }
 
-    byte[] take() throws IOException {
+    byte[] take() throws NoneFree {
+        boolean permitted = permits.tryAcquire();
         try {
-            if (!permits.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS)) {
-                throw new IOException("no buffer is free");
-            }
+            permitted = permitted || permits.tryAcquire(WAIT_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
+        }
+        if (!permitted) {
+            throw new NoneFree();
         }
         synchronized (free) {
             byte[] buffer = free.poll();
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -6,6 +6,7 @@
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
+import holdmux.core.Deadlines;
 import holdmux.core.Exchange;
 import holdmux.core.Fleet;
 import holdmux.core.Log;
@@ -25,6 +26,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.Semaphore;
+import java.util.function.Consumer;
 
 /**
  * One client connection. Its thread reads; a request is carried through on a worker thread meanwhile, so that the
@@ -33,7 +35,7 @@
 final class ClientSession implements Runnable {
     /** What all sessions share. */
     record Context(Balancer balancer, Fleet fleet, Deployment deployment, ServerPool servers, Buffers buffers,
-            Counters counters, Executor workers, CountDownLatch ready) {}
+            Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready) {}
 
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
     /** A startup packet is a few short names; PostgreSQL itself takes no more than this. */
@@ -50,8 +52,8 @@
     private final OutputStream out;
     /** Held while a request is carried through. */
     private final Semaphore turn = new Semaphore(1);
-    /** Under this object's monitor: a message is being read or answered; no more are wanted. */
-    private boolean busy;
+    /** Under this object's monitor: messages being read or answered, and whether no more are wanted. */
+    private int busy;
     private boolean closing;
     private volatile Request current;
 
@@ -73,6 +75,8 @@
             counters.count(Counter.BAD_INPUT);
             Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
             tell(e);
+        } catch (Buffers.NoneFree e) {
+            counters.count(Counter.OVER_CAPACITY); // a message that cannot be read cannot be answered either
         } catch (IOException e) {
             // the client is gone, or was told to go; below
         } catch (InterruptedException e) {
@@ -158,8 +162,10 @@
         byte[] body;
         try {
             int length = ByteBuffer.wrap(read(buffer, 0, 4)).getInt() - 4;
-            if (length < 0 || length > buffer.length) {
+            if (length < 0) {
                 throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + length + " bytes");
+            } else if (length > buffer.length) {
+                throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "a message of " + length + " bytes");
             }
             body = Arrays.copyOf(read(buffer, 0, length), length);
         } finally {
@@ -245,11 +251,9 @@
     }
 
     /** The PostgreSQL side of one request. */
-    private final class PgExchange implements Exchange, ServerPool.Talk {
+    private final class PgExchange implements Exchange {
         private final Statement statement;
-        private long limitMs;
-        private Answer answer;
-        private byte[] answerBuffer;
+        private Answer served;
 
         PgExchange(Statement statement) {
             this.statement = statement;
@@ -257,23 +261,16 @@
 
         @Override
         public Reply attempt(Attempt attempt) {
-            limitMs = Math.max(1, attempt.limitNs / Clock.MS);
-            return context.servers().talk(attempt, this);
+            long limitMs = Math.max(1, attempt.limitNs / Clock.MS);
+            return context.servers().talk(attempt, message -> statement.writeTo(message, limitMs), this::heard);
         }
 
-        @Override
-        public void compose(Message message) {
-            statement.writeTo(message, limitMs);
-        }
-
-        @Override
-        public Reply heard(Answer answer, byte[] buffer) {
+        private Reply heard(Answer answer) {
             Reply reply = answer.reply();
             if (reply.outcome() == Outcome.OK) {
-                this.answer = answer;
-                answerBuffer = buffer;
+                served = answer;
             } else {
-                context.buffers().give(buffer);
+                context.servers().giveBack(answer);
             }
             return reply;
         }
@@ -282,11 +279,11 @@
         public void serve() throws IOException {
             try {
                 ClientSession.this.answer(message -> {
-                    answer.writeTo(message);
+                    served.writeTo(message);
                     message.readyForQuery();
                 });
             } finally {
-                context.buffers().give(answerBuffer);
+                context.servers().giveBack(served);
             }
         }
 
@@ -308,13 +305,16 @@
                 waitMs).readyForQuery());
     }
 
-    private void answer(java.util.function.Consumer<Message> composer) throws IOException {
+    /** Writes an answer; a client that does not take it in time is cut off, and its thread goes free. */
+    private void answer(Consumer<Message> composer) throws IOException {
         byte[] buffer = context.buffers().take();
+        Deadlines.Deadline timeOut = context.deadlines().after(MESSAGE_MS * Clock.MS, this::close);
         try {
             Message message = new Message(buffer);
             composer.accept(message);
             message.writeTo(out);
         } finally {
+            context.deadlines().cancel(timeOut);
             context.buffers().give(buffer);
         }
     }
@@ -341,15 +341,17 @@
 
     /** A message has begun; false if the connection was closed under it. */
     private synchronized boolean begin() {
-        busy = !closing;
-        return busy;
+        if (!closing) {
+            busy++;
+        }
+        return !closing;
     }
 
     private void done() {
         current = null;
         synchronized (this) {
-            busy = false;
-            if (closing) {
+            busy--;
+            if (closing && busy == 0) {
                 close();
             }
         }
@@ -359,7 +361,7 @@
     /** Ends the connection as soon as nothing is being answered on it. */
     synchronized void closeWhenIdle() {
         closing = true;
-        if (!busy) {
+        if (busy == 0) {
             close();
         }
     }
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -15,19 +15,19 @@
     /** Parts in 100 of the descriptors for clients and for servers; the rest is spare for discovery, the log
      * and the virtual machine. */
     private static final int CLIENT_PART = 45, SERVER_PART = 35;
-    /** Buffers in use at once: 96 of 136 KiB are 13 MiB, and each is held only while a message passes. */
+    /** Buffers in use at once on either side, so that slow clients cannot starve the servers' side: 96 of 136 KiB
+     * are 13 MiB, and each is held only while a message passes. */
     private static final int MOST_BUFFERS = 96;
 
     private final Listener listener;
 
     public PgFront(Config config, Balancer balancer, Fleet fleet, Clock clock, Deadlines deadlines,
             Counters counters, Workers workers, CountDownLatch ready) throws IOException {
-        Buffers buffers = new Buffers(MOST_BUFFERS);
-        ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, buffers, config.deployment(),
+        ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(MOST_BUFFERS), config.deployment(),
                 config.sockets() * SERVER_PART / 100);
         balancer.connect(servers, servers::closeAllIdle);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet, config.deployment(),
-                servers, buffers, counters, workers, ready), config.sockets() * CLIENT_PART / 100);
+                servers, new Buffers(MOST_BUFFERS), deadlines, counters, workers, ready), config.sockets() * CLIENT_PART / 100);
     }
 
     /** Accepts clients until {@link #stopAccepting}. */
--- a/src/main/java/holdmux/pg/ServerConnection.java
+++ b/src/main/java/holdmux/pg/ServerConnection.java
@@ -16,48 +16,65 @@
     final long store;
     final InetSocketAddress address;
     private final SocketChannel channel;
+    private final Buffers buffers;
 
     /** A connection yet to be opened. */
-    ServerConnection(long store, InetSocketAddress address) throws IOException {
+    ServerConnection(long store, InetSocketAddress address, Buffers buffers) throws IOException {
         this.store = store;
         this.address = address;
+        this.buffers = buffers;
         channel = SocketChannel.open();
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
-    /** Connects and logs in, as any user; the server's greeting is read into the answer. */
-    void open(byte[] buffer, Answer greeting) throws IOException, ProtocolException {
+    void connect() throws IOException {
         channel.connect(address);
-        send(new Message(buffer).beginUntyped().put(Message.PROTOCOL_3).put("user").put("holdmux")
-                .put("database").put("crm").put('\0').end());
-        receive(buffer, 0, greeting);
     }
 
-    /** Returns once the last byte is written. */
-    void send(Message message) throws IOException {
-        ByteBuffer bytes = message.bytes();
-        while (bytes.hasRemaining()) {
-            channel.write(bytes);
-        }
-    }
-
-    /** Reads until the answer is whole; {@code got} bytes of it are in the buffer already. */
-    void receive(byte[] buffer, int got, Answer answer) throws IOException, ProtocolException {
-        ByteBuffer in = ByteBuffer.wrap(buffer).position(got);
-        while (!answer.parse(in.position())) {
-            if (channel.read(in) < 0) {
-                throw new EOFException("the server closed the connection");
+    /** Writes what is composed; returns once the last byte is written. */
+    void send(java.util.function.Consumer<Message> composer) throws IOException {
+        byte[] buffer = buffers.take();
+        try {
+            Message message = new Message(buffer);
+            composer.accept(message);
+            ByteBuffer bytes = message.bytes();
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
             }
+        } finally {
+            buffers.give(buffer);
         }
     }
 
-    /** Waits for the first bytes of an answer, so that no buffer is held meanwhile; how many came. */
-    int awaitFirst(byte[] head) throws IOException {
+    /**
+     * Reads a whole answer; no buffer is held before its first bytes come. The answer keeps its buffer, which the
+     * caller gives back. If the connection breaks behind a served row or an error, that stands all the same.
+     */
+    Answer receive(Answer.Form form) throws IOException, ProtocolException {
+        byte[] head = new byte[Message.HEAD];
         int got = channel.read(ByteBuffer.wrap(head));
-        if (got < 0) {
-            throw new EOFException("the server closed the connection");
+        Answer answer = new Answer(buffers.take(), form);
+        boolean kept = false;
+        try {
+            ByteBuffer in = ByteBuffer.wrap(answer.buffer).put(head, 0, Math.max(0, got));
+            while (got >= 0 && !answer.parse(in.position())) {
+                got = channel.read(in);
+            }
+            if (got < 0) {
+                throw new EOFException("the server closed the connection");
+            }
+            kept = true;
+        } catch (IOException e) {
+            kept = answer.served() || answer.sqlState() != null;
+            if (!kept) {
+                throw e;
+            }
+        } finally {
+            if (!kept) {
+                buffers.give(answer.buffer);
+            }
         }
-        return got;
+        return answer;
     }
 
     /** Whether an idle connection still stands with nothing to be read: neither an end nor a late word. */
--- a/src/main/java/holdmux/pg/ServerPool.java
+++ b/src/main/java/holdmux/pg/ServerPool.java
@@ -17,6 +17,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Connections to servers, kept while idle and used again, the latest first; carries out attempts and probes. */
 final class ServerPool implements Prober {
@@ -31,6 +33,7 @@
     private final Counters counters;
     private final Buffers buffers;
     private final Deployment deployment;
+    private final Answer.Form form;
     private final int most;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
     private int held;
@@ -44,24 +47,15 @@
         this.counters = counters;
         this.buffers = buffers;
         this.deployment = deployment;
+        form = new Answer.Form(deployment.reportFields(), deployment.settings().zeroNs());
         this.most = most;
     }
 
-    /** What one use of a connection says and hears. */
-    interface Talk {
-        void compose(Message message);
-
-        /** Takes the whole answer; the buffer is the talk's from now on, to be given back. */
-        Reply heard(Answer answer, byte[] buffer);
-    }
-
     /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
-    Reply talk(Attempt attempt, Talk talk) {
+    Reply talk(Attempt attempt, Consumer<Message> composer, Function<Answer, Reply> heard) {
         ServerConnection connection = null;
-        byte[] buffer = null;
         boolean clean = false;
         try {
-            buffer = buffers.take();
             connection = take(attempt.store);
             if (connection != null) {
                 counters.count(Counter.SERVER_REUSES);
@@ -73,90 +67,61 @@
                 if (connection == null) {
                     return Reply.of(Outcome.MOOT); // never sent, and the server is not to blame
                 }
-                String refusal = open(connection, attempt, buffer);
+                String refusal = open(connection, attempt);
                 if (refusal != null) {
                     boolean full = refusal.equals(SqlState.TOO_MANY_CONNECTIONS);
                     return Reply.of(full ? Outcome.FULL : Outcome.CONNECT_FAILED);
                 }
             }
-            Message message = new Message(buffer);
-            talk.compose(message);
-            connection.send(message);
+            connection.send(composer);
             attempt.written();
-            buffers.give(buffer);
-            buffer = null;
-            byte[] head = new byte[Message.HEAD];
-            int got = connection.awaitFirst(head);
-            buffer = buffers.take();
-            System.arraycopy(head, 0, buffer, 0, got);
-            Answer answer = answer(buffer);
-            try {
-                connection.receive(buffer, got, answer);
-                clean = attempt.complete();
-            } catch (IOException e) {
-                if (!answer.served()) {
-                    throw e;
-                }
-                // the row was whole; what broke after it does not take it back
-                attempt.complete();
-            }
-            Reply reply = talk.heard(answer, buffer);
-            buffer = null;
-            return reply;
+            Answer answer = connection.receive(form);
+            clean = attempt.complete() && answer.whole();
+            return heard.apply(answer);
+        } catch (Buffers.NoneFree e) {
+            counters.count(Counter.OVER_CAPACITY);
+            return Reply.of(attempt.droppedHere());
         } catch (IOException | ProtocolException e) {
             return Reply.of(attempt.broken());
         } finally {
-            if (buffer != null) {
-                buffers.give(buffer);
-            }
             if (connection != null) {
                 release(connection, clean);
             }
         }
     }
 
-    private Answer answer(byte[] buffer) {
-        return new Answer(buffer, deployment.reportFields(), deployment.settings().zeroNs());
-    }
-
     /** Null, or the SQLSTATE with which the server turned the connection away. */
-    private String open(ServerConnection connection, Attempt attempt, byte[] buffer)
-            throws IOException, ProtocolException {
+    private String open(ServerConnection connection, Attempt attempt) throws IOException, ProtocolException {
         counters.count(Counter.SERVER_CONNECTS);
         if (!attempt.carriedBy(connection)) {
             throw new IOException("cut off before it was sent");
         }
         Deadline timeOut = deadlines.after(deployment.connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
-        Answer greeting = answer(buffer);
         try {
-            connection.open(buffer, greeting);
-        } catch (IOException e) {
-            if (greeting.sqlState() == null) {
-                throw e; // else the server said why it closed
-            }
+            connection.connect();
+            connection.send(message -> message.beginUntyped().put(Message.PROTOCOL_3).put("user").put("holdmux")
+                    .put("database").put("crm").put('\0').end());
+            Answer greeting = connection.receive(form);
+            buffers.give(greeting.buffer);
+            return greeting.sqlState();
         } finally {
             deadlines.cancel(timeOut);
         }
-        return greeting.sqlState();
     }
 
     @Override
     public Reply probe(Attempt attempt) {
-        return talk(attempt, new Talk() {
-            @Override
-            public void compose(Message message) {
-                message.begin('Q').put("SHOW pressure").end();
-            }
-
-            @Override
-            public Reply heard(Answer answer, byte[] buffer) {
-                Reply reply = answer.probeReply();
-                buffers.give(buffer);
-                return reply;
-            }
+        return talk(attempt, message -> message.begin('Q').put("SHOW pressure").end(), answer -> {
+            buffers.give(answer.buffer);
+            return answer.probeReply();
         });
     }
 
+    /** Gives back the buffer of an answer that {@link #talk} handed on. */
+    void giveBack(Answer answer) {
+        buffers.give(answer.buffer);
+    }
+
     /** An idle connection that still stands, or null. */
     private ServerConnection take(long store) {
         while (true) {
@@ -185,7 +150,7 @@
             return null;
         }
         try {
-            return new ServerConnection(store, address);
+            return new ServerConnection(store, address, buffers);
         } catch (IOException e) {
             unreserve();
             throw e;
--- a/src/main/java/holdmux/pg/Statement.java
+++ b/src/main/java/holdmux/pg/Statement.java
@@ -11,6 +11,8 @@
  * {@code d}, which says there how long this pooler will wait.
  */
 final class Statement {
+    /** Longest literal taken: a value of 64 KiB in hexadecimal behind its {@code \x}. */
+    private static final int MOST_LITERAL = 2 + 2 * 64 * 1024;
     /** Longest comment read: its few short values fit many times over. */
     private static final int MOST_COMMENT = 1_024;
 
@@ -58,6 +60,9 @@
         for (int i = 0; i < text.length && from < 0; i++) {
             if (text[i] == '\'') {
                 int end = closingQuote(text, i + 1);
+                if (end - i - 1 > MOST_LITERAL) {
+                    throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 64 KiB");
+                }
                 key = key != null ? key : new String(text, i + 1, end - i - 1, StandardCharsets.UTF_8);
                 i = end;
             } else if (text[i] == ';') {
--- /dev/null
+++ b/src/test/java/holdmux/config/ConfigTest.java
@@ -0,0 +1,67 @@
+package holdmux.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.decision.SplitterApi.Availability;
+import holdmux.decision.SplitterApi.Consistency;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+
+public class ConfigTest {
+    /** A configuration of a small deployment, in the form that DEPLOY describes. */
+    public static String sample() {
+        try (InputStream in = ConfigTest.class.getResourceAsStream("/config.json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8).strip();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void decodesAllThatThePoolerIsTold() {
+        Config config = Config.decode(sample(), Map.of("BALANCER_LISTEN", "127.0.0.9:6000"), 77);
+        assertEquals("n3", config.name());
+        assertEquals(6000, config.listen().getPort(), "the environment has the last word");
+        assertEquals(8500, config.discovery().getPort());
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(1024, config.sockets());
+        Deployment deployment = config.deployment();
+        assertEquals(77, deployment.settings().zeroNs(), "positions count from our own zero");
+        assertEquals("save-quote", deployment.classes().get(1));
+        assertEquals(Consistency.WRITE, deployment.settings().classes().get(1).consistency());
+        assertEquals(250_000_000L, deployment.connectTimeoutNs());
+        assertEquals(Availability.DRAINING, config.known().hosts().get(1).availability());
+        assertTrue(config.known().hosts().get(0).primary());
+    }
+
+    @Test
+    void flattensToTheSimulatorsForm() {
+        Map<String, String> flat = Flattener.flatten(new JSONObject(
+                "{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true},{\"d\":false}],\"e\":[],\"f\":\"x, y\",\"g\":null}}"));
+        assertEquals(Map.of("a.b", "1,2", "a.c.count", "2", "a.c.0.d", "true", "a.c.1.d", "false", "a.e", "",
+                "a.f", "x__y"), flat);
+    }
+
+    @Test
+    void refusesNamesWhereAddressesMustBe() {
+        assertThrows(ConfigException.class, () -> Config.address("localhost:80"));
+        assertThrows(ConfigException.class, () -> Config.address("127.0.0.1"));
+        assertThrows(ConfigException.class, () -> Config.address("127.0.0.1:70000"));
+    }
+
+    @Property(tries = 200, seed = "41")
+    void cutsAndGarbageAreRefusedInOneLine(@ForAll @IntRange(max = 2_000) int at, @ForAll byte[] garbage) {
+        String cut = sample().substring(0, Math.min(at, sample().length() - 1));
+        assertThrows(ConfigException.class, () -> Config.decode(cut, Map.of(), 0));
+        assertThrows(ConfigException.class, () -> HostList.decode(new String(garbage, StandardCharsets.UTF_8)));
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/core/AttemptTest.java
@@ -0,0 +1,56 @@
+package holdmux.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.decision.SplitterApi.Outcome;
+import org.junit.jupiter.api.Test;
+
+class AttemptTest {
+    private boolean closed;
+
+    private Attempt attempt(boolean written, Outcome cut) {
+        Attempt attempt = new Attempt(1, 0, 0, 1_000);
+        assertTrue(attempt.carriedBy(() -> closed = true));
+        if (written) {
+            attempt.written();
+        }
+        if (cut != null) {
+            attempt.cut(cut);
+        }
+        return attempt;
+    }
+
+    /** The protocol's table: before the last byte nothing ran, after it the request may have. */
+    @Test
+    void aBreakMeansWhatWasWritten() {
+        assertEquals(Outcome.CONNECT_FAILED, attempt(false, null).broken());
+        assertEquals(Outcome.RESET, attempt(true, null).broken());
+        assertEquals(Outcome.CONNECT_FAILED, attempt(false, Outcome.TIMEOUT).broken());
+        assertEquals(Outcome.TIMEOUT, attempt(true, Outcome.TIMEOUT).broken());
+        assertEquals(Outcome.MOOT, attempt(false, Outcome.CANCELLED).broken());
+        assertEquals(Outcome.CANCELLED, attempt(true, Outcome.CANCELLED).broken());
+        assertEquals(Outcome.MOOT, attempt(false, null).droppedHere());
+        assertEquals(Outcome.CANCELLED, attempt(true, null).droppedHere());
+    }
+
+    @Test
+    void aCutClosesTheConnectionOnce() {
+        Attempt attempt = attempt(true, Outcome.TIMEOUT);
+        assertTrue(closed);
+        attempt.cut(Outcome.CANCELLED);
+        assertEquals(Outcome.TIMEOUT, attempt.broken(), "the first cause stands");
+        assertFalse(attempt.carriedBy(() -> { }), "nothing is carried on after a cut");
+    }
+
+    /** Guards against a late time-out closing a connection that is back in the pool. */
+    @Test
+    void aCutAfterTheAnswerTouchesNothing() {
+        Attempt attempt = attempt(true, null);
+        assertTrue(attempt.complete());
+        attempt.cut(Outcome.TIMEOUT);
+        assertFalse(closed);
+        assertFalse(attempt(true, Outcome.TIMEOUT).complete(), "a cut connection is not clean");
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/core/BalancerTest.java
@@ -0,0 +1,158 @@
+package holdmux.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.HostList;
+import holdmux.config.HostList.Host;
+import holdmux.core.Counters.Counter;
+import holdmux.decision.SplitterApi.*;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class BalancerTest {
+    private static final int READ = 0, WRITE = 1;
+
+    /** A front end that plays the given outcomes and notes what the client is told. */
+    private static class Script implements Exchange {
+        final List<String> told = new ArrayList<>();
+        final List<Long> sentTo = new ArrayList<>();
+        private final List<Outcome> outcomes;
+
+        Script(Outcome... outcomes) {
+            this.outcomes = new ArrayList<>(List.of(outcomes));
+        }
+
+        @Override
+        public Reply attempt(Attempt attempt) {
+            sentTo.add(attempt.store);
+            attempt.carriedBy(() -> { });
+            attempt.written();
+            return Reply.of(outcomes.remove(0));
+        }
+
+        @Override
+        public void serve() {
+            told.add("served");
+        }
+
+        @Override
+        public void refuse(long waitNs) {
+            told.add("refused " + waitNs);
+        }
+
+        @Override
+        public void fail() {
+            told.add("failed");
+        }
+    }
+
+    private final Clock clock = new Clock();
+    private final Deadlines deadlines = new Deadlines(clock);
+    private final Counters counters = new Counters();
+    private final Fleet fleet = new Fleet(List.of("north"), List.of("std"));
+    private final Balancer balancer = new Balancer(settings(), 1, 250 * Clock.MS, clock, deadlines, counters, fleet,
+            work -> { });
+
+    BalancerTest() {
+        balancer.connect(attempt -> Reply.of(Outcome.FULL), store -> { });
+        balancer.listChanged(list(true, host("s-1", true, Availability.READY), host("s-2", false, Availability.READY)),
+                true);
+    }
+
+    private static Settings settings() {
+        List<RequestClass> classes = List.of(
+                new RequestClass(Consistency.ANY, 0, 300 * Clock.MS, 1_000 * Clock.MS, 1, 0, Effect.IDEMPOTENT,
+                        Scope.ALL, 0),
+                new RequestClass(Consistency.WRITE, 0, 1_500 * Clock.MS, 5_000 * Clock.MS, 3, 0.5,
+                        Effect.AT_MOST_ONCE, Scope.ALL, 0));
+        return new Settings(0, 1, 0, 5 * Clock.MS, classes, List.of(), 1, Guards.OFF, 0, 0, true, true, false,
+                new Rules(20 * Clock.MS, 2_000 * Clock.MS, 0.15, 13_000 * Clock.MS, 2, 1_500 * Clock.MS, false, 0),
+                new Limits(6, true, true, true, true, 500 * Clock.MS, false), 0, 1, -1, 2, 3);
+    }
+
+    private static Host host(String name, boolean primary, Availability availability) {
+        return new Host(name, new InetSocketAddress("127.0.0.1", 5500), "north", "std", 2, availability, 4, 0, primary);
+    }
+
+    private static HostList list(boolean whole, Host... hosts) {
+        return new HostList(1, whole, List.of(hosts));
+    }
+
+    private Script play(int classIndex, Outcome... outcomes) {
+        Script script = new Script(outcomes);
+        Request.Call call = new Request.Call(classIndex, false, 900 * Clock.MS, 0, 7, 2);
+        balancer.life(balancer.taken(call), script);
+        return script;
+    }
+
+    @Test
+    void aReadThatIsResetGoesToAnotherServer() {
+        Script script = play(READ, Outcome.RESET, Outcome.OK);
+        assertEquals(List.of("served"), script.told);
+        assertEquals(2, script.sentTo.stream().distinct().count());
+    }
+
+    /** save-quote never runs twice: after an outcome that does not prove that it never ran, it fails. */
+    @Test
+    void aWriteThatMayHaveRunIsNotSentAgain() {
+        Script script = play(WRITE, Outcome.RESET);
+        assertEquals(List.of("failed"), script.told);
+        assertEquals(1, script.sentTo.size());
+        assertEquals(1, counters.get(Counter.FAILED));
+    }
+
+    /** A fault of this program on the way is the attempt's: one answer all the same. */
+    @Test
+    void anExceptionFailsOneRequest() {
+        Script script = new Script() {
+            @Override
+            public Reply attempt(Attempt attempt) {
+                attempt.written();
+                throw new IllegalStateException("planted");
+            }
+        };
+        balancer.life(balancer.taken(new Request.Call(WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
+        assertEquals(List.of("failed"), script.told);
+        assertEquals(List.of("served"), play(READ, Outcome.OK).told);
+    }
+
+    @Test
+    void aClientThatLeftIsToldNothing() {
+        Request request = balancer.taken(new Request.Call(READ, false, 900 * Clock.MS, 0, 7, 2));
+        balancer.left(request);
+        Script script = new Script();
+        balancer.life(request, script);
+        assertEquals(List.of(), script.told);
+        assertEquals(1, counters.get(Counter.CLIENTS_LEFT));
+    }
+
+    /** The module gives up on what nobody can take; its answer goes out at once, with the time to come again. */
+    @Test
+    void whatTheModuleGivesUpOnIsRefusedWithATime() {
+        balancer.listChanged(list(true, host("s-2", false, Availability.DRAINING)), false);
+        Script script = new Script();
+        Request request = balancer.taken(new Request.Call(READ, false, Clock.MS, 0, 7, 2));
+        Thread sweeper = Workers.thread("sweeper", deadlines::run);
+        sweeper.start();
+        balancer.life(request, script);
+        assertEquals(List.of("refused " + 500 * Clock.MS), script.told);
+    }
+
+    @Test
+    void aWholeListRemovesWhatItOmitsAndAddressesMayChange() {
+        long first = fleet.take(list(false, host("s-1", true, Availability.READY)), false).lines().get(0).store();
+        Host moved = new Host("s-2", new InetSocketAddress("127.0.0.1", 5599), "north", "std", 2, Availability.READY, 4,
+                1_000, false);
+        Listing line = fleet.take(list(true, moved), false).lines().get(0);
+        assertNull(fleet.address(first));
+        assertEquals(5599, fleet.address(line.store()).getPort());
+        assertEquals(1_000 * Clock.MS, line.startedAt());
+        assertTrue(fleet.hasGroup(2) && !fleet.hasGroup(3));
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/discovery/HttpResponseTest.java
@@ -0,0 +1,59 @@
+package holdmux.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class HttpResponseTest {
+    private static final String PLAIN = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String CHUNKED =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nbod\r\n1\r\ny\r\n0\r\n\r\n";
+
+    private static HttpResponse read(String text) throws IOException {
+        return HttpResponse.read(new ByteArrayInputStream(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    @Test
+    void readsBothKindsOfBodies() throws IOException {
+        assertEquals(new HttpResponse(200, "body", true), read(PLAIN + "next"));
+        assertEquals(new HttpResponse(200, "body", true), read(CHUNKED + "next"));
+        assertEquals(new HttpResponse(404, "", false), read("HTTP/1.0 404 No\r\nContent-Length: 0\r\n\r\n"));
+        assertEquals(new HttpResponse(200, "to the end", false), read("HTTP/1.1 200 OK\r\n\r\nto the end"));
+    }
+
+    @Test
+    void boundsWhatItReads() {
+        assertThrows(IOException.class, () -> read("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"));
+        assertThrows(IOException.class, () -> read("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"));
+        assertThrows(IOException.class, () -> read("HTTP/1.1 200 OK\r\n" + "a: b\r\n".repeat(101) + "\r\n"));
+        assertThrows(IOException.class, () -> read("HTTP/1.1 200 " + "x".repeat(9_000)));
+        assertThrows(IOException.class, () -> read(CHUNKED.replace("3;x", "7fffffff;x")));
+    }
+
+    @Property(tries = 200, seed = "31")
+    void noCutPasses(@ForAll boolean chunked, @ForAll @IntRange(max = 100) int at) {
+        String text = chunked ? CHUNKED : PLAIN;
+        assertThrows(IOException.class, () -> read(text.substring(0, Math.min(at, text.length() - 1))));
+    }
+
+    @Property(tries = 500, seed = "32")
+    void garbageIsRefusedInOrder(@ForAll byte[] garbage, @ForAll @IntRange(max = 60) int at) {
+        byte[] bytes = CHUNKED.getBytes(StandardCharsets.ISO_8859_1);
+        System.arraycopy(garbage, 0, bytes, at, Math.min(garbage.length, bytes.length - at));
+        for (byte[] input : new byte[][] {garbage, bytes}) {
+            try {
+                assertTrue(HttpResponse.read(new ByteArrayInputStream(input)).status() >= 100);
+            } catch (IOException e) {
+                assertTrue(e.getMessage().length() > 3);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/pg/AnswerTest.java
@@ -0,0 +1,122 @@
+package holdmux.pg;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.core.Reply;
+import holdmux.decision.SplitterApi.Outcome;
+import holdmux.decision.SplitterApi.Role;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class AnswerTest {
+    private static final long MS = 1_000_000L;
+    private static final long ZERO_S = 1_767_225_000L;
+    private static final Answer.Form FORM =
+            new Answer.Form(List.of("x0", "x1", "outstanding", "utilization"), ZERO_S * 1_000 * MS);
+
+    private static byte[] bytes(Consumer<Message> composer) {
+        Message message = new Message(new byte[1_024]);
+        composer.accept(message);
+        byte[] bytes = new byte[message.bytes().remaining()];
+        message.bytes().get(bytes);
+        return bytes;
+    }
+
+    static Message row(Message message, String value) {
+        byte[] data = value.getBytes(StandardCharsets.UTF_8);
+        return message.begin('T').putShort(1).put("data").put(0).putShort(0).put(17).putShort(-1).put(-1).putShort(1)
+                .end().begin('D').putShort(1).put(data.length).put(data, 0, data.length).end()
+                .begin('C').put("SELECT 1").end();
+    }
+
+    private static final byte[] SERVED = bytes(m -> row(m, "v1").parameterStatus("replication_role", "standby")
+            .parameterStatus("log_position", "1767225600123")
+            .parameterStatus("pressure", "x0=1767225599.5,x1=0,inflight=7,util=0.61").readyForQuery());
+
+    private static Answer answer(byte[] bytes) throws ProtocolException {
+        Answer answer = new Answer(Arrays.copyOf(bytes, 2_048), FORM);
+        answer.parse(bytes.length);
+        return answer;
+    }
+
+    private static Outcome errorOutcome(String sqlState) throws ProtocolException {
+        return answer(bytes(m -> m.error(false, sqlState, "no", null).readyForQuery())).reply().outcome();
+    }
+
+    @Test
+    void aServedAnswerTellsRolePositionAndReport() throws ProtocolException {
+        Answer answer = answer(SERVED);
+        assertTrue(answer.whole());
+        Reply reply = answer.reply();
+        assertEquals(Outcome.OK, reply.outcome());
+        assertEquals(Role.REPLICA, reply.role());
+        assertEquals(1_767_225_600_123L * MS, reply.positionNs());
+        assertArrayEquals(new float[] {599.5f, 0, 7, 0.61f}, reply.report());
+        assertArrayEquals(bytes(m -> row(m, "v1")), bytes(answer::writeTo), "the client gets the row as it came");
+    }
+
+    @Test
+    void errorsMapByTheProtocolsTable() throws ProtocolException {
+        assertEquals(Outcome.MISS, errorOutcome("25006"));
+        assertEquals(Outcome.MISS, errorOutcome("72000"));
+        assertEquals(Outcome.FULL, errorOutcome("53300"));
+        assertEquals(Outcome.ERROR, errorOutcome("XX000"));
+        assertEquals(Outcome.ERROR, errorOutcome("08P01"), "what is not known never to have run may have run");
+    }
+
+    @Test
+    void aProbeReadsItsRowAsTheReport() throws ProtocolException {
+        Answer answer = answer(bytes(m -> row(m, "util=0.25,x0=1767225001,x1=1,inflight=2").readyForQuery()));
+        assertArrayEquals(new float[] {1, 1, 2, 0.25f}, answer.probeReply().report());
+        Answer busy = answer(bytes(m -> m.error(false, "57P03", "busy", null).readyForQuery()));
+        assertEquals(Outcome.FULL, busy.probeReply().outcome());
+        Answer torn = answer(bytes(m -> row(m, "x0=17672").readyForQuery()));
+        assertEquals(0, torn.probeReply().report().length, "half a report is none");
+    }
+
+    /** Only the row given for this very request is served: never two, and none without its description. */
+    @Test
+    void oddResultsAreNotServed() throws ProtocolException {
+        assertThrows(ProtocolException.class, () -> answer(bytes(m -> m.begin('D').putShort(0).end())));
+        assertThrows(ProtocolException.class, () -> answer(bytes(m -> row(row(m, "a"), "b"))));
+        assertThrows(ProtocolException.class, () -> answer(bytes(m -> row(m, "a").readyForQuery().readyForQuery())));
+        Answer empty = answer(bytes(m -> m.begin('C').put("SELECT 0").end().readyForQuery()));
+        assertEquals(Outcome.ERROR, empty.reply().outcome());
+    }
+
+    @Property(tries = 200, seed = "21")
+    void piecesGiveTheSameAsTheWhole(@ForAll @IntRange(min = 1, max = 60) int piece) throws ProtocolException {
+        Answer answer = new Answer(new byte[2_048], FORM);
+        for (int length = 0; length < SERVED.length; length = Math.min(SERVED.length, length + piece)) {
+            System.arraycopy(SERVED, 0, answer.buffer, 0, length);
+            assertFalse(answer.parse(length), "not whole at " + length);
+        }
+        System.arraycopy(SERVED, 0, answer.buffer, 0, SERVED.length);
+        assertTrue(answer.parse(SERVED.length));
+        assertEquals(Outcome.OK, answer.reply().outcome());
+    }
+
+    @Property(tries = 500, seed = "22")
+    void garbageIsRefusedInOrder(@ForAll byte[] garbage, @ForAll @IntRange(max = 90) int at) {
+        byte[] bytes = SERVED.clone();
+        System.arraycopy(garbage, 0, bytes, at, Math.min(garbage.length, bytes.length - at));
+        for (byte[] input : new byte[][] {garbage, bytes}) {
+            try {
+                Answer answer = answer(Arrays.copyOf(input, Math.min(input.length, 2_048)));
+                assertTrue(answer.reply().outcome() != null && answer.probeReply().outcome() != null);
+            } catch (ProtocolException e) {
+                assertEquals(SqlState.PROTOCOL_VIOLATION, e.sqlState);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -0,0 +1,243 @@
+package holdmux.pg;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.Config;
+import holdmux.config.ConfigTest;
+import holdmux.core.Balancer;
+import holdmux.core.Clock;
+import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Deadlines;
+import holdmux.core.Fleet;
+import holdmux.core.Workers;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole client and server side over loopback, against one scripted primary. */
+@Timeout(20)
+class PoolerTest {
+    private static final String WRITE = "INSERT INTO facts (code, data) VALUES ('7f', '\\x9f') RETURNING data "
+            + "/* id=9b,c=save-quote,d=3000,cluster=2 */";
+
+    @TempDir
+    Path folder;
+    private final List<String> queries = new CopyOnWriteArrayList<>();
+    private final Counters counters = new Counters();
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private ServerSocket server;
+    private PgFront front;
+    private Config config;
+    /** What the server answers to a request. */
+    private volatile Consumer<Message> script = m -> AnswerTest.row(m, "v").parameterStatus("replication_role", "primary")
+            .readyForQuery();
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Workers.thread("scripted server", this::serve).start();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, ConfigTest.sample().replace("127.0.0.1:5501", "127.0.0.1:" + server.getLocalPort()));
+        Clock clock = new Clock();
+        config = Config.load(Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_LISTEN", "127.0.0.1:" + port),
+                clock.now());
+        Deadlines deadlines = new Deadlines(clock);
+        Workers workers = new Workers(20);
+        Fleet fleet = new Fleet(List.of(), List.of());
+        Balancer balancer = new Balancer(config.deployment().settings(), 1, 250 * Clock.MS, clock, deadlines, counters,
+                fleet, workers);
+        front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
+        balancer.listChanged(config.known(), true);
+        Workers.thread("deadlines", deadlines::run).start();
+        Workers.thread("front", front::run).start();
+        ready.countDown();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        front.stopAccepting();
+        server.close();
+    }
+
+    private void serve() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                Workers.thread("scripted connection", () -> speak(socket)).start();
+            }
+        } catch (IOException e) {
+            // the test is over
+        }
+    }
+
+    private void speak(Socket socket) {
+        try (socket) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            in.readNBytes(in.readInt() - 4);
+            send(socket, m -> m.begin('R').put(0).end().readyForQuery());
+            while (in.read() == 'Q') {
+                String query = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0", "");
+                if (query.startsWith("SHOW")) {
+                    send(socket, m -> AnswerTest.row(m, "x0=1,x1=1,inflight=0,util=0").readyForQuery());
+                } else {
+                    queries.add(query);
+                    Consumer<Message> now = script;
+                    if (now == null) {
+                        return;
+                    }
+                    send(socket, now);
+                }
+            }
+        } catch (IOException e) {
+            // the pooler left
+        }
+    }
+
+    private static void send(Socket socket, Consumer<Message> composer) throws IOException {
+        Message message = new Message(new byte[4_096]);
+        composer.accept(message);
+        message.writeTo(socket.getOutputStream());
+    }
+
+    private static void startup(Message message) {
+        message.beginUntyped().put(Message.PROTOCOL_3).put("user").put("portal").put('\0').end();
+    }
+
+    private static void query(Message message, String text) {
+        message.begin('Q').put(text).end();
+    }
+
+    /** The types of the messages up to and with this many ReadyForQuery, or the end. */
+    private static String types(Socket socket, int readies) throws IOException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        StringBuilder types = new StringBuilder();
+        int seen = 0;
+        while (seen < readies) {
+            int type = in.read();
+            if (type < 0) {
+                types.append('|');
+                break;
+            }
+            types.append((char) type);
+            String body = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8);
+            if (type == 'E') {
+                types.append(body.split("\0C")[1], 0, 5);
+            }
+            seen += type == 'Z' ? 1 : 0;
+        }
+        return types.toString().replace("RSSSSSSKZ", "hello ");
+    }
+
+    private Socket client() throws IOException {
+        return new Socket(config.listen().getAddress(), config.listen().getPort());
+    }
+
+    private String ask(String query) throws IOException {
+        try (Socket client = client()) {
+            send(client, m -> {
+                startup(m);
+                query(m, query);
+            });
+            return types(client, 2);
+        }
+    }
+
+    @Test
+    void startupAndQueryInOnePacketAreBothAnswered() throws IOException {
+        assertEquals("hello TDCZ", ask(WRITE));
+        assertEquals("hello IZ", ask(""));
+        assertEquals(1, queries.size());
+        assertTrue(queries.get(0).matches(".*d=(29\\d\\d|3000),.*"), "d says how long we wait: " + queries.get(0));
+    }
+
+    @Test
+    void badInputIsAnsweredAndNeverSent() throws IOException {
+        assertEquals("hello E42601Z", ask("SELECT 1"));
+        assertEquals("hello E22023Z", ask(WRITE.replace("save-quote", "no-such")));
+        assertEquals("hello E22023Z", ask(WRITE.replace("cluster=2", "cluster=9")));
+        assertEquals("hello E22023Z", ask(WRITE.replace("save-quote", "my-quotes")), "a write in a class of reads");
+        try (Socket client = client()) {
+            send(client, m -> {
+                startup(m);
+                m.begin('P').put("extended").end();
+            });
+            assertEquals("hello E0A000|", types(client, 2));
+        }
+        try (Socket client = client()) {
+            send(client, m -> m.put(1 << 30).put(0));
+            assertEquals("E08P01|", types(client, 1));
+        }
+        assertEquals(6, counters.get(Counter.BAD_INPUT));
+        assertTrue(queries.isEmpty());
+    }
+
+    /** A connection that breaks after the last byte may have run its write: failed, never sent again. */
+    @Test
+    void aWriteCutAfterItsLastByteFails() throws IOException {
+        script = null;
+        assertEquals("hello E08007Z", ask(WRITE));
+        assertEquals(1, queries.size());
+    }
+
+    @Test
+    void aServerThatIsFullLeavesTheWriteToBeTriedAgain() throws IOException {
+        script = m -> {
+            script = ok -> AnswerTest.row(ok, "v").readyForQuery();
+            m.error(false, SqlState.TOO_MANY_CONNECTIONS, "full", null).readyForQuery();
+        };
+        assertEquals("hello TDCZ", ask(WRITE));
+        assertEquals(2, queries.size());
+    }
+
+    /** Guards against a drain that cuts off what was taken, and one that leaves idle clients in place. */
+    @Test
+    void aDrainAnswersWhatWasTaken() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        script = m -> {
+            asked.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            AnswerTest.row(m, "v").readyForQuery();
+        };
+        try (Socket idle = client(); Socket busy = client()) {
+            send(idle, PoolerTest::startup);
+            assertEquals("hello ", types(idle, 1));
+            send(busy, m -> {
+                startup(m);
+                query(m, WRITE);
+            });
+            asked.await();
+            front.closeWhenIdle();
+            assertEquals("|", types(idle, 1));
+            go.countDown();
+            assertEquals("hello TDCZ|", types(busy, 3));
+        }
+        assertFalse(queries.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/holdmux/pg/StatementTest.java
@@ -0,0 +1,108 @@
+package holdmux.pg;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class StatementTest {
+    private static final String READ = "SELECT data FROM facts WHERE code = '7f3a' "
+            + "/* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123 */";
+    private static final String WRITE = "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f03') RETURNING data "
+            + "/* id=9b1f03aa5c7e2d41,c=order,d=4800,cluster=2,k=17 */";
+
+    private static Statement parse(String text) throws ProtocolException {
+        return Statement.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String sent(Statement statement, long limitMs) {
+        Message message = new Message(new byte[Buffers.SIZE]);
+        statement.writeTo(message, limitMs);
+        ByteBuffer bytes = message.bytes();
+        assertEquals('Q', bytes.get());
+        assertEquals(bytes.remaining(), bytes.getInt(), "the length counts itself but not the type");
+        byte[] text = new byte[bytes.remaining() - 1];
+        bytes.get(text);
+        assertEquals(0, bytes.get());
+        return new String(text, StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void readsTheFiguresOfARequest() throws ProtocolException {
+        Statement read = parse(READ);
+        assertFalse(read.write);
+        assertEquals("basket", read.className);
+        assertEquals(480, read.waitMs);
+        assertEquals(2, read.group);
+        assertEquals(1767225600123L, read.afterMs);
+        Statement write = parse(WRITE);
+        assertTrue(write.write);
+        assertEquals(read.session(), write.session(), "one key is one session, read or written");
+        assertNotEquals(read.session(), parse(READ.replace("7f3a", "7f3b")).session());
+    }
+
+    /** Servers void a statement that no client sent: only d may change on the way. */
+    @Test
+    void onlyTheWaitChangesOnTheWay() throws ProtocolException {
+        assertEquals(WRITE.replace("d=4800", "d=77"), sent(parse(WRITE), 77));
+        String spaced = READ.replace("d=480,", " d = 480 ,").replace("7f3a", "d=480''ü/*");
+        assertEquals(spaced.replace("d = 480", "d = 3"), sent(parse(spaced), 3));
+    }
+
+    @Test
+    void refusesWhatIsNotInTheForm() {
+        assertRejected(SqlState.SYNTAX_ERROR, "DROP TABLE facts");
+        assertRejected(SqlState.SYNTAX_ERROR, READ.replace(" */", ""));
+        assertRejected(SqlState.SYNTAX_ERROR, READ + "; " + READ);
+        assertRejected(SqlState.SYNTAX_ERROR, READ.replace("c=basket", "c"));
+        assertRejected(SqlState.SYNTAX_ERROR, READ.replace("id=9b1f03aa5c7e2d41,", ""));
+        assertRejected(SqlState.SYNTAX_ERROR, READ.replace("c=basket", "d=480"));
+        assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("d=480", "d=-1"));
+        assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("cluster=2", "cluster=99999"));
+        assertRejected(SqlState.PROGRAM_LIMIT_EXCEEDED, WRITE.replace("9f03", "ab".repeat(64 * 1024 + 1)));
+        ProtocolException e = assertThrows(ProtocolException.class, () -> Statement.parse(new byte[] {'S', (byte) 0xff}));
+        assertEquals(SqlState.CHARACTER_NOT_IN_REPERTOIRE, e.sqlState);
+    }
+
+    @Test
+    void takesTheLargestValue() throws ProtocolException {
+        String largest = WRITE.replace("9f03", "ab".repeat(64 * 1024));
+        assertEquals(largest.replace("d=4800", "d=4000"), sent(parse(largest), 4000));
+    }
+
+    private static void assertRejected(String sqlState, String text) {
+        ProtocolException e = assertThrows(ProtocolException.class, () -> parse(text), text);
+        assertEquals(sqlState, e.sqlState, e.getMessage());
+        assertTrue(e.framed, "the connection goes on");
+    }
+
+    @Property(tries = 300, seed = "11")
+    void noCutOfAStatementPasses(@ForAll boolean write, @ForAll @IntRange(max = 200) int at) {
+        byte[] text = (write ? WRITE : READ).getBytes(StandardCharsets.UTF_8);
+        byte[] cut = Arrays.copyOf(text, Math.min(at, text.length - 1));
+        assertThrows(ProtocolException.class, () -> Statement.parse(cut));
+    }
+
+    /** Garbage may be refused but must not throw anything else. */
+    @Property(tries = 500, seed = "12")
+    void garbageIsRefusedInOrder(@ForAll byte[] garbage, @ForAll @IntRange(max = 100) int at) {
+        byte[] text = READ.getBytes(StandardCharsets.UTF_8);
+        System.arraycopy(garbage, 0, text, at, Math.min(garbage.length, text.length - at));
+        for (byte[] input : new byte[][] {garbage, text}) {
+            try {
+                assertTrue(Statement.parse(input).waitMs > 0);
+            } catch (ProtocolException e) {
+                assertEquals(5, e.sqlState.length());
+            }
+        }
+    }
+}
