--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -26,6 +26,8 @@
     /** All that was taken is answered by its deadline, 5 s at most, and SIGKILL comes 0.7 s after that. */
     private static final long DRAIN_MS = 5_500;
     private static final long LOOK_MS = 20;
+    /** The counters go to the log once a minute, as is usual for poolers. */
+    private static final long REPORT_MS = 60_000;
 
     private Main() {}
 
@@ -64,11 +66,19 @@
             balancer.listChanged(list, false);
             ready.countDown();
         })).start();
+        reportLater(deadlines, counters);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, counters), "drain"));
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         front.run();
     }
 
+    private static void reportLater(Deadlines deadlines, Counters counters) {
+        deadlines.after(REPORT_MS * Clock.MS, () -> {
+            Log.info("counters; " + counters);
+            reportLater(deadlines, counters);
+        });
+    }
+
     /** SIGTERM: goes on accepting for a while, answers all that was taken, then lets the program end. */
     private static void drain(PgFront front, Counters counters) {
         try {
--- a/src/main/java/holdmux/core/Counters.java
+++ b/src/main/java/holdmux/core/Counters.java
@@ -14,7 +14,12 @@
         ATTEMPTS, ATTEMPT_OK, ATTEMPT_ERROR, ATTEMPT_FULL, ATTEMPT_TIMEOUT, ATTEMPT_CONNECT_FAILED, ATTEMPT_RESET,
         ATTEMPT_CANCELLED, ATTEMPT_MOOT, ATTEMPT_MISS,
         PROBES, PROBES_FAILED, SERVER_CONNECTS, SERVER_REUSES, SERVER_IDLE_CLOSES, SERVER_STALE_CLOSES,
-        LISTS_TAKEN, WATCH_FAILURES, INTERNAL_ERRORS
+        LISTS_TAKEN, WATCH_FAILURES, INTERNAL_ERRORS;
+
+        @Override
+        public String toString() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
     private final Map<Counter, LongAdder> figures = new EnumMap<>(Counter.class);
@@ -38,7 +43,7 @@
     public String toString() {
         StringBuilder line = new StringBuilder();
         figures.forEach((counter, figure) -> line.append(line.isEmpty() ? "" : " ")
-                .append(counter.name().toLowerCase(Locale.ROOT)).append('=').append(figure.sum()));
+                .append(counter).append('=').append(figure.sum()));
         return line.toString();
     }
 }
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -21,7 +21,9 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -40,6 +42,10 @@
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
     /** A startup packet is a few short names; PostgreSQL itself takes no more than this. */
     private static final int MOST_STARTUP = 10_000;
+    /** PostgreSQL's type of plain text. */
+    private static final int TEXT_TYPE = 25;
+    /** Bad inputs for each line of the log. */
+    private static final int LOG_EVERY = 100;
     /** A message once begun must be whole within this time: clients write it in one go. */
     private static final int MESSAGE_MS = 5_000;
     /** How long the request is on its way to us, at most in the deployments so far: d counts from its send. */
@@ -72,9 +78,7 @@
                 while (message()) { }
             }
         } catch (ProtocolException e) {
-            counters.count(Counter.BAD_INPUT);
-            Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
-            tell(e);
+            refuseInput(e);
         } catch (Buffers.NoneFree e) {
             counters.count(Counter.OVER_CAPACITY); // a message that cannot be read cannot be answered either
         } catch (IOException e) {
@@ -94,14 +98,15 @@
     /** Up to the first ReadyForQuery; false where the connection was for something else. */
     private boolean startup() throws IOException, ProtocolException {
         socket.setSoTimeout(MESSAGE_MS);
-        byte[] buffer = context.buffers().take();
-        try {
-            while (true) {
-                int length = ByteBuffer.wrap(read(buffer, 0, 4)).getInt();
-                if (length < 8 || length > MOST_STARTUP) {
-                    throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a startup packet of " + length + " bytes");
-                }
-                ByteBuffer packet = ByteBuffer.wrap(read(buffer, 4, length - 4), 4, length - 4);
+        byte[] head = new byte[4]; // no buffer is held for a client that connects and says nothing
+        while (true) {
+            int length = ByteBuffer.wrap(read(head, 0, 4)).getInt();
+            if (length < 8 || length > MOST_STARTUP) {
+                throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a startup packet of " + length + " bytes");
+            }
+            byte[] buffer = context.buffers().take();
+            try {
+                ByteBuffer packet = ByteBuffer.wrap(read(buffer, 0, length - 4), 0, length - 4);
                 int code = packet.getInt();
                 if (code == SSL_REQUEST || code == GSS_REQUEST) {
                     out.write('N');
@@ -114,9 +119,9 @@
                     socket.setSoTimeout(0);
                     return true;
                 }
+            } finally {
+                context.buffers().give(buffer);
             }
-        } finally {
-            context.buffers().give(buffer);
         }
     }
 
@@ -138,7 +143,7 @@
     private static boolean hasUser(ByteBuffer packet) throws ProtocolException {
         byte[] rest = new byte[packet.remaining()];
         packet.get(rest);
-        String[] parts = new String(rest, java.nio.charset.StandardCharsets.UTF_8).split("\0", -1);
+        String[] parts = new String(rest, StandardCharsets.UTF_8).split("\0", -1);
         // name, value, name, value ... and a lone zero at the end
         if (rest.length == 0 || rest[rest.length - 1] != 0 || parts.length % 2 != 0) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a startup packet of odd parts");
@@ -196,18 +201,53 @@
             done();
             return;
         }
+        if (isShowStats(body)) {
+            showStats();
+            done();
+            return;
+        }
         try {
             Statement statement = Statement.parse(Arrays.copyOf(body, body.length - 1));
             Request.Call call = call(statement);
             start(context.balancer().taken(call), statement);
         } catch (ProtocolException e) {
-            counters.count(Counter.BAD_INPUT);
-            Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
-            tell(e);
+            refuseInput(e);
             done();
         }
     }
 
+    /** PgBouncer's name for it: the counters, a row each. */
+    private void showStats() throws IOException {
+        answer(message -> {
+            message.begin('T').putShort(2);
+            column(message, "counter");
+            column(message, "value").end();
+            int rows = 0;
+            for (Counter counter : Counter.values()) {
+                message.begin('D').putShort(2);
+                field(message, counter.toString());
+                field(message, Long.toString(counters.get(counter))).end();
+                rows++;
+            }
+            message.begin('C').put("SHOW " + rows).end().readyForQuery();
+        });
+    }
+
+    private static Message column(Message message, String name) {
+        return message.put(name).put(0).putShort(0).put(TEXT_TYPE).putShort(-1).put(-1).putShort(0);
+    }
+
+    private static Message field(Message message, String value) {
+        byte[] text = value.getBytes(StandardCharsets.UTF_8);
+        return message.put(text.length).put(text, 0, text.length);
+    }
+
+    private static boolean isShowStats(byte[] body) {
+        // 32 bytes hold the command with room for blanks; longer ones are statements
+        return body.length < 32 && new String(body, StandardCharsets.UTF_8).strip().toUpperCase(Locale.ROOT)
+                .matches("SHOW STATS\\s*;?\0");
+    }
+
     private static boolean blank(byte[] body) {
         for (byte b : body) {
             if (b != 0 && b != ' ' && b != ';' && b != '\n' && b != '\t' && b != '\r') {
@@ -319,7 +359,12 @@
         }
     }
 
-    private void tell(ProtocolException e) {
+    /** Counts and answers bad input; the log has the first and then one in some, so that no flood fills it. */
+    private void refuseInput(ProtocolException e) {
+        counters.count(Counter.BAD_INPUT);
+        if (counters.get(Counter.BAD_INPUT) % LOG_EVERY == 1) {
+            Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
+        }
         try {
             answer(message -> {
                 message.error(!e.framed, e.sqlState, e.getMessage(), null);
--- a/src/test/java/holdmux/pg/PoolerTest.java
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -193,6 +193,12 @@
         assertTrue(queries.isEmpty());
     }
 
+    @Test
+    void countersAreShownOnRequest() throws IOException {
+        String types = ask("show stats;");
+        assertEquals("hello T" + "D".repeat(Counter.values().length) + "CZ", types);
+    }
+
     /** A connection that breaks after the last byte may have run its write: failed, never sent again. */
     @Test
     void aWriteCutAfterItsLastByteFails() throws IOException {
