--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -59,6 +59,10 @@
     private static final double COLD_BURST = 0.15;
     /** Sessions remembered in a group; the oldest is cleared past the floor beyond that. */
     private static final int SESSIONS = 20_000;
+    /** A request that no store has been given is not held beyond this part of its time: the client does better
+     * to come again. Only what is worth more late than this is held on, since that chance is the better one. */
+    private static final double HOLD_PART = 0.5;
+    private static final double LATE_ENOUGH = 0.3;
     /** Kept clear of the end of a dedup window: the way to the store and its clock take time. */
     private static final long WINDOW_MARGIN_NS = 50 * MS;
     /** A list call that failed is made again after this, and up to as much again by chance. */
@@ -137,12 +141,12 @@
         final RequestClass type;
         final int classIndex;
         final Group group;
-        final long session, arrived, deadline, giveUpAt, tokenPosition;
+        final long session, arrived, deadline, giveUpAt, holdUntil, tokenPosition;
         final List<Attempt> attempts = new ArrayList<>(2);
         final BitSet ended = new BitSet(), retracted = new BitSet();
         int inFlight, misses;
         long mayHaveRunAt = Long.MAX_VALUE;
-        boolean done, held, accused;
+        boolean done, held, accused, reached;
         Store avoid, erred;
 
         Open(Arrived a, RequestClass type, Group group, long now, long slack) {
@@ -155,6 +159,8 @@
             deadline = now + a.remainingNs();
             long useful = type.lateWorth() > 0 ? deadline : Math.min(deadline, now + type.onTimeNs());
             giveUpAt = useful - slack;
+            long part = now + (long) (HOLD_PART * a.remainingNs()) - slack;
+            holdUntil = type.lateWorth() > LATE_ENOUGH ? giveUpAt : Math.min(giveUpAt, part);
             tokenPosition = a.tokenAgeNs() > 0 ? now - a.tokenAgeNs() : 0;
         }
 
@@ -476,7 +482,8 @@
     }
 
     private long lookAgain(Open o) {
-        return Math.min(o.giveUpAt, now + (now - o.arrived) / LOOK_AGAIN);
+        long limit = o.reached || now >= o.holdUntil ? o.giveUpAt : o.holdUntil;
+        return Math.min(limit, now + (now - o.arrived) / LOOK_AGAIN);
     }
 
     private void unhold(Open o) {
@@ -512,7 +519,8 @@
         }
         for (Open o : all) {
             boolean hopeless = o.held && o.inFlight == 0
-                    && (now + base[o.classIndex] / 2 > o.giveUpAt || !repeatable(o));
+                    && (now + base[o.classIndex] / 2 > o.giveUpAt || !repeatable(o)
+                    || !o.reached && now >= o.holdUntil);
             if (now >= o.giveUpAt || hopeless) {
                 finish(o);
             } else if (!o.done) {
@@ -564,6 +572,7 @@
         if (!e.outcome().neverRan) {
             o.mayHaveRunAt = Math.min(o.mayHaveRunAt, a.sentAt);
         }
+        o.reached |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touched.add(o.group);
         evidence(o, a, e);
         health(o, a, e);
