--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -30,6 +30,11 @@
     private static final long PROBE_GAP_NS = 100 * MS;
     /** How fast the averages of a store follow: about ten answers. */
     private static final double FOLLOW = 0.1;
+    /** Answers that the first guess of a class's time counts for: one long answer must not replace it. */
+    private static final int GUESS_WEIGHT = 5;
+    /** Part of its aim that a class is taken to need at most: beyond it no request of the class would be sent
+     * even to an idle store, so that nothing would ever be learned of it again. */
+    private static final double BASE_MOST = 0.5;
     /** Part of its usual load beyond which a store has no room left. */
     private static final double ROOM = 1.5;
     /** Work at once that says nothing of a store's load yet: any store has that many cores. */
@@ -714,8 +719,10 @@
         s.load += FOLLOW * (outAtSend - s.load);
         // chosen by load at the send, never by the outcome: lucky answers alone would drag the figure down
         if (outAtSend <= FREE_SLOTS && s.queue < 1) {
-            base[classIndex] += Math.max(FOLLOW / 10, 1.0 / ++samples[classIndex])
+            base[classIndex] += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++samples[classIndex]))
                     * (latency - base[classIndex]);
+            double most = BASE_MOST * settings.classes().get(classIndex).onTimeNs();
+            base[classIndex] = Math.min(base[classIndex], most);
         }
         carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + base[classIndex] / CARRY_NS;
         carryAt = now;
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -64,6 +64,15 @@
                 .map(a -> ((Decline) a).id()).toList(), "the write is worth its wait");
     }
 
+    /** Guards against a class that is locked out for good: its first answer took longer than its aim. */
+    @Test
+    void oneLongFirstAnswerDoesNotLockItsClassOut() {
+        Front f = front();
+        f.at(5, request(1, UNSAFE, 7));
+        f.at(900, new Answered(1, 1, 0, true, Outcome.OK, 900 * MS, Role.PRIMARY, 0, new float[0]));
+        assertEquals(1, sentTo(f.at(5, request(2, UNSAFE, 8))));
+    }
+
     @Test
     void aKeyedWriteIsRepeatedInsideItsWindowOnly() {
         Front f = front();
