Make the lock-out test fail before its fix: the scripted front must not stand still

Seen: aNewLongFirstAnswer's test passed on the old module too. Its clock jumped 900 ms at once, which the module takes for a stall of its own and does not learn from. It now passes time in timer steps; it fails on the old module and passes on the new.

--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -69,7 +69,8 @@
     void oneLongFirstAnswerDoesNotLockItsClassOut() {
         Front f = front();
         f.at(5, request(1, UNSAFE, 7));
-        f.at(900, new Answered(1, 1, 0, true, Outcome.OK, 900 * MS, Role.PRIMARY, 0, new float[0]));
+        f.pass(900);
+        f.at(5, new Answered(1, 1, 0, true, Outcome.OK, 905 * MS, Role.PRIMARY, 0, new float[0]));
         assertEquals(1, sentTo(f.at(5, request(2, UNSAFE, 8))));
     }
 
