--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -5,6 +5,7 @@
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Log;
@@ -14,6 +15,8 @@
 import holdmux.simhost.SimHost;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import sun.misc.Signal;
 
 /** Starts the pooler ({@code serve}) or the simulator's adapter ({@code simhost}). */
 public final class Main {
@@ -49,6 +52,9 @@
     }
 
     private static void serve() throws IOException {
+        Semaphore hangUps = new Semaphore(0);
+        // before anything else: unhandled, this signal ends a virtual machine
+        Signal.handle(new Signal("HUP"), signal -> hangUps.release());
         Clock clock = new Clock();
         Config config = Config.load(System.getenv(), clock.now());
         Deadlines deadlines = new Deadlines(clock);
@@ -62,16 +68,38 @@
         balancer.listChanged(config.known(), true);
         deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
         Workers.thread("deadlines", deadlines::run).start();
-        Workers.thread("discovery", new Watch(config.discovery(), counters, list -> {
+        Watch watch = new Watch(config.discovery(), counters, list -> {
             balancer.listChanged(list, false);
             ready.countDown();
-        })).start();
+        });
+        Workers.thread("discovery", watch).start();
+        Workers.thread("reload", () -> reload(hangUps, config, watch, counters)).start();
         reportLater(deadlines, counters);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, counters), "drain"));
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         front.run();
     }
 
+    /** SIGHUP: takes up the configuration anew, time and again; one that cannot be used leaves the old in force. */
+    private static void reload(Semaphore hangUps, Config config, Watch watch, Counters counters) {
+        while (true) {
+            hangUps.acquireUninterruptibly();
+            hangUps.drainPermits();
+            try {
+                Config next = config.reload(System.getenv());
+                watch.moveTo(next.discovery());
+                counters.count(Counter.RELOADS);
+                Log.info("configuration taken up anew; discovery is at " + next.discovery());
+                if (config.needsRestartFor(next)) {
+                    Log.warn("the new configuration changes more than discovery; the rest needs a restart");
+                }
+            } catch (IOException | RuntimeException e) {
+                counters.count(Counter.RELOADS_REFUSED);
+                Log.warn("the new configuration cannot be used, the old one stays: " + e.getMessage());
+            }
+        }
+    }
+
     private static void reportLater(Deadlines deadlines, Counters counters) {
         deadlines.after(REPORT_MS * Clock.MS, () -> {
             Log.info("counters; " + counters);
--- a/src/main/java/holdmux/config/Config.java
+++ b/src/main/java/holdmux/config/Config.java
@@ -11,26 +11,49 @@
 /** All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int memoryMb,
         int sockets, HostList known, Deployment deployment) {
+    /** A fleet of twenty servers and its settings take 10 KiB; this is room for thousands. */
+    private static final long MOST_BYTES = 1 << 20;
 
     /** Reads the file that BALANCER_CONFIG names; the other variables, where set, have the last word. */
     public static Config load(Map<String, String> env, long zeroNs) throws IOException {
+        return decode(text(env), env, zeroNs, false);
+    }
+
+    /**
+     * The file as it is now, read whole and checked. What it names counts over the environment, which tells how
+     * things were at the start; positions go on counting from where they did.
+     */
+    public Config reload(Map<String, String> env) throws IOException {
+        return decode(text(env), env, deployment.settings().zeroNs(), true);
+    }
+
+    /** What the program took up at its start and can only change by a restart. */
+    public boolean needsRestartFor(Config next) {
+        return !(next.listen.equals(listen) && next.memoryMb == memoryMb && next.sockets == sockets
+                && next.deployment.equals(deployment));
+    }
+
+    private static String text(Map<String, String> env) throws IOException {
         String file = env.get("BALANCER_CONFIG");
         if (file == null) {
             throw new ConfigException("BALANCER_CONFIG is not set");
         }
-        return decode(Files.readString(Path.of(file)), env, zeroNs);
+        if (Files.size(Path.of(file)) > MOST_BYTES) {
+            throw new ConfigException("configuration: over " + MOST_BYTES + " bytes");
+        }
+        return Files.readString(Path.of(file));
     }
 
     /** {@code zeroNs}: where positions count from on this program's clock; the simulator's own means nothing here. */
-    static Config decode(String json, Map<String, String> env, long zeroNs) {
+    static Config decode(String json, Map<String, String> env, long zeroNs, boolean fileFirst) {
         try {
             JSONObject all = new JSONObject(json);
             Map<String, String> settings = Flattener.flatten(all.getJSONObject("settings"));
             settings.put("family-info.zero-ns", String.valueOf(zeroNs));
             JSONObject limits = all.getJSONObject("limits");
-            return new Config(env.getOrDefault("BALANCER_NAME", all.optString("name")),
-                    address(env.getOrDefault("BALANCER_LISTEN", all.optString("listen"))),
-                    address(env.getOrDefault("BALANCER_DISCOVERY", all.optString("discovery"))),
+            return new Config(named(all, "name", env, "BALANCER_NAME", fileFirst),
+                    address(named(all, "listen", env, "BALANCER_LISTEN", fileFirst)),
+                    address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
                     limits.getInt("sockets"), HostList.decode(all.getJSONObject("known")),
                     new SettingsReader(settings).deployment());
@@ -39,6 +62,12 @@
         }
     }
 
+    private static String named(JSONObject all, String key, Map<String, String> env, String variable,
+            boolean fileFirst) {
+        boolean file = all.has(key) && (fileFirst || !env.containsKey(variable));
+        return file ? all.getString(key) : env.getOrDefault(variable, "");
+    }
+
     /** A numeric address and a port; there is no name service to ask. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/holdmux/discovery/Watch.java
+++ b/src/main/java/holdmux/discovery/Watch.java
@@ -25,7 +25,10 @@
     /** Failures between log lines: one line in some seconds of silence. */
     private static final int LOG_EVERY = 10;
 
-    private final InetSocketAddress agent;
+    /** Where the agent is now, and the connection to it; a change takes hold at the next call. */
+    private InetSocketAddress agent;
+    private Socket calling;
+    private boolean moved;
     private final Counters counters;
     private final Consumer<HostList> lists;
     private long seq;
@@ -35,6 +38,7 @@
     /** {@code lists} takes each list in, in order. */
     public Watch(InetSocketAddress agent, Counters counters, Consumer<HostList> lists) {
         this.agent = agent;
+        calling = new Socket();
         this.counters = counters;
         this.lists = lists;
     }
@@ -43,22 +47,50 @@
     public void run() {
         while (true) {
             try (Socket socket = new Socket()) {
-                socket.connect(agent, CONNECT_MS);
+                InetSocketAddress at = begin(socket);
+                socket.connect(at, CONNECT_MS);
                 socket.setTcpNoDelay(true);
-                follow(socket);
+                follow(socket, at);
             } catch (IOException | RuntimeException e) {
                 failed(e);
             }
         }
     }
 
+    /**
+     * Follows the list at another address from now on. The call under way is cut short: what the old agent has
+     * still to tell may never come, and the new one's whole list holds it all.
+     */
+    public synchronized void moveTo(InetSocketAddress to) {
+        if (!to.equals(agent)) {
+            agent = to;
+            moved = true;
+            try {
+                calling.close();
+            } catch (IOException e) {
+                // closing is all that was wanted
+            }
+        }
+    }
+
+    private synchronized InetSocketAddress begin(Socket socket) {
+        calling = socket;
+        whole |= moved;
+        moved = false;
+        return agent;
+    }
+
+    private synchronized boolean hasMoved() {
+        return moved;
+    }
+
     /** Calls over one connection until it ends; its last answer may close it in good order. */
-    private void follow(Socket socket) throws IOException {
+    private void follow(Socket socket, InetSocketAddress at) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         boolean open = true;
         while (open) {
             socket.setSoTimeout((whole ? 0 : HOLD_MS) + SILENCE_MS);
-            socket.getOutputStream().write(call().getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
             HttpResponse response = HttpResponse.read(in);
             if (response.status() != 200) {
                 whole = true; // our version may be one that discovery no longer knows
@@ -69,9 +101,9 @@
         }
     }
 
-    private String call() {
+    private String call(InetSocketAddress at) {
         String query = whole ? "" : "?from=" + seq + "&hold_ms=" + HOLD_MS;
-        return "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + agent.getHostString() + ":" + agent.getPort()
+        return "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + at.getHostString() + ":" + at.getPort()
                 + "\r\nAccept: application/json\r\n\r\n";
     }
 
@@ -88,10 +120,13 @@
     }
 
     private void failed(Exception e) {
+        if (hasMoved()) {
+            return; // the old agent's call was ended by us
+        }
         counters.count(Counter.WATCH_FAILURES);
         whole |= e instanceof ConfigException;
         if (failures++ % LOG_EVERY == 0) {
-            Log.warn("discovery at " + agent + " does not answer: " + e.getMessage());
+            Log.warn("discovery does not answer: " + e.getMessage());
         }
         try {
             Thread.sleep(AGAIN_MS);
--- /dev/null
+++ b/src/test/java/holdmux/MainTest.java
@@ -0,0 +1,80 @@
+package holdmux;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.ConfigTest;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process of its own: what signals do to it. */
+class MainTest {
+    private static ServerSocket agent() throws IOException {
+        return new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** Answers the first call with an empty list, then says nothing more; returns what was called. */
+    private static String answerOnce(ServerSocket agent) throws IOException {
+        Socket socket = agent.accept();
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        String call = in.readLine();
+        String body = "{\"seq\":7,\"whole\":true,\"hosts\":[]}";
+        socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8));
+        return call;
+    }
+
+    private static String config(ServerSocket agent, int port) {
+        return ConfigTest.sample().replace("127.0.0.1:8500", "127.0.0.1:" + agent.getLocalPort())
+                .replace("127.0.0.1:5433", "127.0.0.1:" + port);
+    }
+
+    /** Unhandled, SIGHUP ends a virtual machine; handled, the new file's discovery is asked for its whole list. */
+    @Test
+    @Timeout(30)
+    void aHangUpMovesTheWatchAndEndsNothing(@TempDir Path folder) throws Exception {
+        int port;
+        try (ServerSocket free = agent()) {
+            port = free.getLocalPort();
+        }
+        Path file = folder.resolve("config.json");
+        try (ServerSocket first = agent(); ServerSocket second = agent()) {
+            Files.writeString(file, config(first, port));
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "holdmux.Main", "serve");
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            Process pooler = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            try {
+                assertEquals("GET /v1/endpoints HTTP/1.1", answerOnce(first));
+                Files.writeString(file, "{");
+                hangUp(pooler);
+                Thread.sleep(300); // two signals close together would count as one
+                Files.writeString(file, config(second, port));
+                hangUp(pooler);
+                assertEquals("GET /v1/endpoints HTTP/1.1", answerOnce(second));
+                assertTrue(pooler.isAlive());
+                pooler.destroy(); // SIGTERM
+                assertTrue(pooler.waitFor(10, TimeUnit.SECONDS));
+                String log = Files.readString(folder.resolve("log"));
+                assertTrue(log.contains("the old one stays") && log.contains("reloads=1 reloads_refused=1"), log);
+            } finally {
+                pooler.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangUp(Process pooler) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(pooler.pid())).start().waitFor());
+    }
+}
--- a/src/test/java/holdmux/config/ConfigTest.java
+++ b/src/test/java/holdmux/config/ConfigTest.java
@@ -1,6 +1,7 @@
 package holdmux.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,12 +10,15 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 public class ConfigTest {
     /** A configuration of a small deployment, in the form that DEPLOY describes. */
@@ -28,7 +32,7 @@
 
     @Test
     void decodesAllThatThePoolerIsTold() {
-        Config config = Config.decode(sample(), Map.of("BALANCER_LISTEN", "127.0.0.9:6000"), 77);
+        Config config = Config.decode(sample(), Map.of("BALANCER_LISTEN", "127.0.0.9:6000"), 77, false);
         assertEquals("n3", config.name());
         assertEquals(6000, config.listen().getPort(), "the environment has the last word");
         assertEquals(8500, config.discovery().getPort());
@@ -43,6 +47,24 @@
         assertTrue(config.known().hosts().get(0).primary());
     }
 
+    /** What a replaced file names counts over the environment given at the start; a bad file changes nothing. */
+    @Test
+    void aReloadReadsTheFileAgainAndPutsItFirst(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("config.json");
+        Map<String, String> env = Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_DISCOVERY", "127.0.0.1:8501");
+        Files.writeString(file, sample());
+        Config config = Config.load(env, 77);
+        assertEquals(8501, config.discovery().getPort());
+        Files.writeString(file, sample().replace("127.0.0.1:8500", "127.0.0.1:8600"));
+        Config next = config.reload(env);
+        assertEquals(8600, next.discovery().getPort());
+        assertFalse(config.needsRestartFor(next));
+        Files.writeString(file, sample().replace(":1024}", ":512}"));
+        assertTrue(config.needsRestartFor(config.reload(env)));
+        Files.writeString(file, sample().substring(0, 500));
+        assertThrows(ConfigException.class, () -> config.reload(env));
+    }
+
     @Test
     void flattensToTheSimulatorsForm() {
         Map<String, String> flat = Flattener.flatten(new JSONObject(
@@ -61,7 +83,7 @@
     @Property(tries = 200, seed = "41")
     void cutsAndGarbageAreRefusedInOneLine(@ForAll @IntRange(max = 2_000) int at, @ForAll byte[] garbage) {
         String cut = sample().substring(0, Math.min(at, sample().length() - 1));
-        assertThrows(ConfigException.class, () -> Config.decode(cut, Map.of(), 0));
+        assertThrows(ConfigException.class, () -> Config.decode(cut, Map.of(), 0, false));
         assertThrows(ConfigException.class, () -> HostList.decode(new String(garbage, StandardCharsets.UTF_8)));
     }
 }
