--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -50,6 +50,8 @@
     /** First rest of an ill store; each further one lasts twice as long, up to the longest. */
     private static final long REST_FIRST_NS = 400 * MS;
     private static final long REST_LONGEST_NS = 4_000 * MS;
+    /** Broken connections in a row that make it ill: spoilt answers, one in 30 on bad days, seldom do. */
+    private static final int BREAKS = 3;
     /** Weight of an ill store in the pick when most of its group looks ill: a trial now and then. */
     private static final double ILL_WEIGHT = 0.1;
     /** The first trial of a lagging replica after a miss; more lag waits longer. */
@@ -60,7 +62,7 @@
     /** Part of the time left that an answer may be expected to take: answers scatter about the mean. */
     private static final double FIT_IN = 0.4;
     /** Part of the cold budget of the rules that all fronts together plan to use, steady and in bursts. */
-    private static final double COLD_STEADY = 0.3;
+    private static final double COLD_STEADY = 0.5;
     private static final double COLD_BURST = 0.15;
     /** Sessions remembered in a group; the oldest is cleared past the floor beyond that. */
     private static final int SESSIONS = 20_000;
@@ -75,6 +77,8 @@
 
     /** Span over which the work in hand is averaged: about the span of the cold rule. */
     private static final double CARRY_NS = 2_000.0 * MS;
+    /** How long the busiest spell is remembered: some of the longest warm-ups. */
+    private static final double PEAK_NS = 60_000.0 * MS;
 
     private static final int TICK = 1, ASK = 2;
 
@@ -111,6 +115,8 @@
         /** When an answer or a probe last said that it leads no longer. */
         long deniedAt;
         int out;
+        /** Connections of it that broke since its last answer. */
+        int breaks;
         double outWork;
         /** Health: ill since when, for silence or not, whether its process seemed down, its next rest. */
         boolean ill, silent, down;
@@ -188,8 +194,10 @@
     private final double[] base;
     private final int[] samples;
     private double probeTokens = PROBE_BURST;
-    /** Work in hand at all stores together for this front, averaged. */
-    private double carry;
+    /** Work in hand at all stores together for this front, averaged; the peak of late for each store. */
+    private double carry, peak;
+    /** Stores that the list calls ready. */
+    private int ready;
     private long carryAt;
     /** How old a report is when it arrives, learned from primaries, which stand at the present. */
     private double reportAge;
@@ -419,9 +427,10 @@
         boolean alone = o.inFlight == 0 || limits.duplicates() && o.safe();
         boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
         if (o.done || s.group != o.group || !s.listed() || !repeatable(o) || !alone || !fresh
-                || !takeColdBudget(s, base[o.classIndex])) {
+                || !coldRoom(s, base[o.classIndex])) {
             return false;
         }
+        s.coldLevel += base[o.classIndex];
         Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, base[o.classIndex]);
         o.attempts.add(attempt);
         o.inFlight++;
@@ -682,10 +691,11 @@
                     suspect(s);
                 }
             }
-            case CONNECT_FAILED, RESET -> {
+            case CONNECT_FAILED -> {
                 suspect(s);
-                s.down |= e.outcome() == Outcome.RESET;
+                s.down |= s.breaks > 0;
             }
+            case RESET -> broke(s);
             default -> { }
         }
         s.unansweredSince = s.out == 0 && !s.silent ? 0 : s.unansweredSince;
@@ -696,6 +706,19 @@
         s.ill = s.silent = s.down = false;
         s.proven = true;
         s.answeredAt = s.unansweredSince = now;
+        s.breaks = 0;
+    }
+
+    /**
+     * One connection broke: an answer was spoilt, an idle close crossed a request, or the process ended. Only
+     * some breaks with no answer between make a store ill, and only a refused connect behind them shows that
+     * it is cold: warm ones must not be shut out. Costs further attempts at a store that is down.
+     */
+    private void broke(Store s) {
+        s.breaks++;
+        if (s.breaks >= BREAKS || s.ill) {
+            suspect(s);
+        }
     }
 
     /**
@@ -725,6 +748,7 @@
             base[classIndex] = Math.min(base[classIndex], most);
         }
         carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + base[classIndex] / CARRY_NS;
+        peak = Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), carry / Math.max(1, ready));
         carryAt = now;
     }
 
@@ -742,7 +766,7 @@
      * late, from overload, slow machines or other fronts; refuses too much where answer times scatter widely.
      */
     private boolean usable(Store s, Open o) {
-        if (!s.listed() || !s.proven) {
+        if (!s.listed() || !s.proven || !coldRoom(s, base[o.classIndex])) {
             return false;
         }
         if (s.ill && !panic(o.group)) {
@@ -778,7 +802,8 @@
         return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.rampNs();
     }
 
-    private boolean takeColdBudget(Store s, double work) {
+    /** Whether a store that may be cold can take so much more work now; always true of a warm one. */
+    private boolean coldRoom(Store s, double work) {
         double part = coldPart(s);
         if (part >= 1) {
             return true;
@@ -788,17 +813,15 @@
         double drained = s.coldLevel - COLD_STEADY * rate * (now - s.coldAt);
         s.coldLevel = s.coldAt < s.coldSince ? random.nextDouble() * work : Math.max(0, drained);
         s.coldAt = now;
-        if (s.coldLevel > 0 && s.coldLevel + work > COLD_BURST * rate * rules.fallNs()) {
-            return false;
-        }
-        s.coldLevel += work;
-        return true;
+        return s.coldLevel == 0 || s.coldLevel + work <= COLD_BURST * rate * rules.fallNs();
     }
 
-    /** Work per time that this front usually sends to one store; its share of what a store can do. */
+    /**
+     * Work per time that this front sends to one store when it is busy; its share of what a store can do. The
+     * peak of late counts: what cold stores may not take must not lower what they may take next.
+     */
     private double usualCarry() {
-        double mean = carry * Math.exp(-(now - carryAt) / CARRY_NS) / Math.max(1, stores.size());
-        return Math.max(mean, 0.5 / settings.balancers());
+        return Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), 0.5 / settings.balancers());
     }
 
     // ---- Probes, timers and the list ----
@@ -855,6 +878,8 @@
         if (e.outcome() == Outcome.OK) {
             s.proven = true;
             s.probedWellAt = now;
+        } else if (e.outcome() == Outcome.RESET) {
+            broke(s);
         } else if (e.outcome() != Outcome.FULL && s.answeredAt < s.probedAt && s.probedAt > stalledAt) {
             suspect(s);
             s.down |= e.outcome() != Outcome.ERROR;
@@ -898,6 +923,7 @@
         }
         boolean first = stores.isEmpty();
         e.lines().forEach(line -> listed(line, first));
+        ready = (int) stores.values().stream().filter(Store::listed).count();
     }
 
     private void listed(Listing line, boolean first) {
--- a/src/main/java/holdmux/pg/Answer.java
+++ b/src/main/java/holdmux/pg/Answer.java
@@ -24,7 +24,7 @@
     private int parsed;
     private int rowFrom = NONE, rowTo = NONE, valueFrom, valueLength = NONE;
     private int rows;
-    private boolean described, complete, ready;
+    private boolean described, complete, ready, surplus;
     private String sqlState;
     private Role role = Role.UNKNOWN;
     private long positionNs;
@@ -49,9 +49,7 @@
             message((char) buffer[parsed], parsed + Message.HEAD, parsed + 1 + size);
             parsed += 1 + size;
         }
-        if (ready && parsed < length) {
-            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "bytes after ReadyForQuery");
-        }
+        surplus = ready && parsed < length;
         return ready;
     }
 
@@ -143,6 +141,9 @@
             if (field >= 0) {
                 try {
                     double figure = Double.parseDouble(pair.substring(equals + 1));
+                    if (!Double.isFinite(figure) || figure < 0) {
+                        return Reply.NO_REPORT;
+                    }
                     values[field] = (float) (reportFields.get(field).equals("x0") ? figure - zeroNs / 1e9 : figure);
                     found++;
                 } catch (NumberFormatException e) {
@@ -174,9 +175,9 @@
         return from >= to ? "" : new String(buffer, from, to - from, StandardCharsets.UTF_8);
     }
 
-    /** Whether the answer came to its end, so that its connection is free for the next request. */
+    /** Whether the answer came to its end and nothing behind it, so that its connection is free for the next request. */
     boolean whole() {
-        return ready;
+        return ready && !surplus;
     }
 
     /** Whether a whole row came with its CommandComplete, even if the connection broke after that. */
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -146,6 +146,40 @@
         assertTrue(sent >= 1 && sent < 40, "sent " + sent);
     }
 
+    /** One spoilt answer once made its store ill, and then cold for the whole of its warm-up. */
+    @Test
+    void aLoneBreakSaysNothingOfItsStore() {
+        Front f = front();
+        f.at(5, new ListChanged(ListMode.DELTA, 2, List.of(line(3, false, 0, Availability.GONE))));
+        for (int i = 0; i < 20; i += 2) {
+            assertEquals(2, sentTo(f.at(100, request(i, ANY, 0))));
+            f.at(5, f.answer(i, 0, 2, Outcome.RESET, Role.UNKNOWN, 0));
+            f.at(5, f.answer(i, 1, 1, Outcome.OK, Role.PRIMARY, 0));
+            assertEquals(2, sentTo(f.at(100, request(i + 1, ANY, 0))), "after break " + i);
+            f.at(5, f.answer(i + 1, 0, 2, Outcome.OK, Role.REPLICA, 0));
+        }
+    }
+
+    /** What cold stores may take was once measured by late sends, so that little sent meant less to send. */
+    @Test
+    void aQuietSpellDoesNotShrinkTheColdBudget() {
+        Front f = front();
+        f.at(0, new ListChanged(ListMode.DELTA, 2, List.of(line(3, false, 0, Availability.GONE))));
+        for (int i = 0; i < 2_000; i++) {
+            f.at(5, request(i, ANY, 0), request(10_000 + i, UNSAFE, 7));
+            f.at(5, new Answered(i, 2, 0, true, Outcome.OK, 60 * MS, Role.REPLICA, 0, new float[0]),
+                    new Answered(10_000 + i, 1, 0, true, Outcome.OK, 60 * MS, Role.PRIMARY, 0, new float[0]));
+        }
+        f.pass(8_000);
+        f.at(5, new ListChanged(ListMode.DELTA, 3, List.of(line(2, false, f.now - 8_000 * MS, Availability.READY))));
+        long sent = 0;
+        for (int i = 20_000; i < 20_020; i++) {
+            List<Action> out = f.at(1, request(i, ANY, 0));
+            sent += sends(out).stream().filter(s -> s.store() == 2).count();
+        }
+        assertTrue(sent >= 4, sent + " of 20 went to a store that is half warm and idle");
+    }
+
     @Test
     void aStoreThatFailsFastIsEjected() {
         Front f = front();
