--- a/src/main/java/holdmux/pg/Answer.java
+++ b/src/main/java/holdmux/pg/Answer.java
@@ -3,6 +3,8 @@
 import holdmux.core.Reply;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.decision.SplitterApi.Role;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -14,6 +16,7 @@
 final class Answer {
     private static final long NS_PER_MS = 1_000_000L;
     private static final int NONE = -1;
+    private static final byte[] READY = {'Z', 0, 0, 0, 5, 'I'};
 
     /** How answers are to be read: the fields of reports, and where positions in reports count from. */
     record Form(List<String> reportFields, long zeroNs) {}
@@ -208,8 +211,11 @@
         return Reply.of(busy ? Outcome.FULL : Outcome.ERROR);
     }
 
-    /** Adds the messages of a served answer. */
-    void writeTo(Message message) {
-        message.put(buffer, rowFrom, rowTo - rowFrom);
+    /** Writes the messages of a served answer and ReadyForQuery, which takes the place of what stood behind them. */
+    void writeTo(OutputStream out) throws IOException {
+        int end = Math.min(buffer.length, rowTo + READY.length);
+        System.arraycopy(READY, 0, buffer, rowTo, end - rowTo);
+        out.write(buffer, rowFrom, end - rowFrom);
+        out.write(READY, end - rowTo, READY.length - (end - rowTo));
     }
 }
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -15,59 +15,73 @@
 import holdmux.decision.SplitterApi.Consistency;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.decision.SplitterApi.RequestClass;
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 
 /**
- * One client connection. Its thread reads; a request is carried through on a worker thread meanwhile, so that the
- * reader sees a client that leaves. The next message is taken up once the answer before it is written.
+ * One client connection. Its thread only reads, so that it sees a client that leaves; what came whole is answered in
+ * order on a worker thread, which is held only while there is something to answer.
  */
 final class ClientSession implements Runnable {
     /** What all sessions share. */
     record Context(Balancer balancer, Fleet fleet, Deployment deployment, ServerPool servers, Buffers buffers,
-            Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready) {}
+            Clock clock, Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
+            Clients clients) {}
+
+    /**
+     * What waits for its answer: a query of so many bytes, in a buffer of the pool where it is long, or what was wrong
+     * with the input. Neither is the client's farewell.
+     */
+    private record Turn(byte[] query, int length, boolean pooled, ProtocolException wrong) {}
 
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
     /** A startup packet is a few short names; PostgreSQL itself takes no more than this. */
     private static final int MOST_STARTUP = 10_000;
+    /** Longer queries go to a buffer of the pool; a usual one of 1 KiB in hexadecimal is shorter. */
+    private static final int SHORT = 4_096;
+    /** Holds any of our own messages, of which the counters are the longest. */
+    private static final int OWN_MESSAGES = 4_096;
     /** PostgreSQL's type of plain text. */
     private static final int TEXT_TYPE = 25;
     /** Bad inputs for each line of the log. */
     private static final int LOG_EVERY = 100;
-    /** A message once begun must be whole within this time: clients write it in one go. */
-    private static final int MESSAGE_MS = 5_000;
+    /** A message once begun must be whole within this time, and an answer taken: clients do both in one go, and
+     * what hangs is owed an end within 3 s. */
+    private static final int MESSAGE_MS = 2_000;
+    /** Commands that may wait on one connection behind the one that is answered, and bytes of them that are read
+     * ahead. Drivers that pipeline send a few; the caps of all clients together are a few MiB. */
+    private static final int MOST_AHEAD = 32, BYTES_AHEAD = 8_192;
     /** How long the request is on its way to us, at most in the deployments so far: d counts from its send. */
     private static final long UNDERWAY_MS = 2;
 
     private final Socket socket;
     private final Context context;
     private final Counters counters;
-    private final InputStream in;
+    private final ClientInput in;
     private final OutputStream out;
-    /** Held while a request is carried through. */
-    private final Semaphore turn = new Semaphore(1);
-    /** Under this object's monitor: messages being read or answered, and whether no more are wanted. */
-    private int busy;
-    private boolean closing;
-    private volatile Request current;
+    /** All under this object's monitor. What waits to be answered, at most MOST_AHEAD turns. */
+    private final ArrayDeque<Turn> ahead = new ArrayDeque<>(2);
+    private int bytesAhead;
+    /** Whether a message has begun to come in, one is being answered, too many came at once, the connection is to
+     * end once all is answered, and has ended. */
+    private boolean reading, answering, flooded, closing, ended;
+    private Request current;
 
     ClientSession(Socket socket, Context context) throws IOException {
         this.socket = socket;
         this.context = context;
         counters = context.counters();
-        in = socket.getInputStream();
+        in = new ClientInput(socket, context.clock());
         out = socket.getOutputStream();
     }
 
@@ -75,77 +89,69 @@
     public void run() {
         try {
             if (startup()) {
-                while (message()) { }
+                boolean goOn = true;
+                while (goOn) {
+                    goOn = message();
+                }
+            } else {
+                close();
             }
         } catch (ProtocolException e) {
-            refuseInput(e);
-        } catch (Buffers.NoneFree e) {
-            counters.count(Counter.OVER_CAPACITY); // a message that cannot be read cannot be answered either
+            answerLater(new Turn(null, 0, false, e));
         } catch (IOException e) {
-            // the client is gone, or was told to go; below
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            Request left = current;
-            if (left != null) {
-                context.balancer().left(left);
-            }
-            close();
-            counters.count(Counter.CLIENTS_CLOSED);
+            leave(); // the client is gone, or was told to go
+        } catch (RuntimeException e) {
+            counters.count(Counter.INTERNAL_ERRORS);
+            Log.error("a client could not be read", e);
+            leave();
         }
     }
 
     /** Up to the first ReadyForQuery; false where the connection was for something else. */
     private boolean startup() throws IOException, ProtocolException {
-        socket.setSoTimeout(MESSAGE_MS);
-        byte[] head = new byte[4]; // no buffer is held for a client that connects and says nothing
+        in.within(MESSAGE_MS);
         while (true) {
-            int length = ByteBuffer.wrap(read(head, 0, 4)).getInt();
+            int length = in.number();
             if (length < 8 || length > MOST_STARTUP) {
                 throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a startup packet of " + length + " bytes");
             }
-            byte[] buffer = context.buffers().take();
-            try {
-                ByteBuffer packet = ByteBuffer.wrap(read(buffer, 0, length - 4), 0, length - 4);
-                int code = packet.getInt();
-                if (code == SSL_REQUEST || code == GSS_REQUEST) {
-                    out.write('N');
-                } else if (code == CANCEL_REQUEST) {
-                    return false;
-                } else if (code >>> 16 != 3) {
-                    throw ProtocolException.fatal(SqlState.FEATURE_NOT_SUPPORTED, "protocol " + (code >>> 16));
-                } else {
-                    greet(packet, code, buffer);
-                    socket.setSoTimeout(0);
-                    return true;
-                }
-            } finally {
-                context.buffers().give(buffer);
+            int code = in.number();
+            if (code == SSL_REQUEST || code == GSS_REQUEST) {
+                in.skip(length - 8);
+                out.write('N');
+            } else if (code == CANCEL_REQUEST) {
+                return false;
+            } else if (code >>> 16 != 3) {
+                throw ProtocolException.fatal(SqlState.FEATURE_NOT_SUPPORTED, "protocol " + (code >>> 16));
+            } else {
+                byte[] names = new byte[length - 8];
+                in.read(names, names.length);
+                greet(names, code);
+                return true;
             }
         }
     }
 
-    private void greet(ByteBuffer packet, int protocol, byte[] buffer) throws IOException, ProtocolException {
-        if (!hasUser(packet)) {
+    private void greet(byte[] names, int protocol) throws IOException, ProtocolException {
+        if (!hasUser(names)) {
             throw ProtocolException.fatal(SqlState.INVALID_AUTHORIZATION, "the startup packet names no user");
         }
-        Message message = new Message(buffer);
-        if (protocol != Message.PROTOCOL_3) {
-            message.begin('v').put(Message.PROTOCOL_3).put(0).end(); // NegotiateProtocolVersion
-        }
-        message.begin('R').put(0).end().parameterStatus("server_version", "15.0 (holdmux)")
-                .parameterStatus("server_encoding", "UTF8").parameterStatus("client_encoding", "UTF8")
-                .parameterStatus("standard_conforming_strings", "on").parameterStatus("DateStyle", "ISO, MDY")
-                .parameterStatus("integer_datetimes", "on")
-                .begin('K').put(0).put(0).end().readyForQuery().writeTo(out);
+        write(message -> {
+            if (protocol != Message.PROTOCOL_3) {
+                message.begin('v').put(Message.PROTOCOL_3).put(0).end(); // NegotiateProtocolVersion
+            }
+            message.begin('R').put(0).end().parameterStatus("server_version", "15.0 (holdmux)")
+                    .parameterStatus("server_encoding", "UTF8").parameterStatus("client_encoding", "UTF8")
+                    .parameterStatus("standard_conforming_strings", "on").parameterStatus("DateStyle", "ISO, MDY")
+                    .parameterStatus("integer_datetimes", "on")
+                    .begin('K').put(0).put(0).end().readyForQuery();
+        });
     }
 
-    private static boolean hasUser(ByteBuffer packet) throws ProtocolException {
-        byte[] rest = new byte[packet.remaining()];
-        packet.get(rest);
-        String[] parts = new String(rest, StandardCharsets.UTF_8).split("\0", -1);
+    private static boolean hasUser(byte[] names) throws ProtocolException {
+        String[] parts = new String(names, StandardCharsets.UTF_8).split("\0", -1);
         // name, value, name, value ... and a lone zero at the end
-        if (rest.length == 0 || rest[rest.length - 1] != 0 || parts.length % 2 != 0) {
+        if (names.length == 0 || names[names.length - 1] != 0 || parts.length % 2 != 0) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a startup packet of odd parts");
         }
         for (int i = 0; i + 1 < parts.length; i += 2) {
@@ -156,69 +162,195 @@
         return false;
     }
 
-    /** One message; false at the end of the connection. */
-    private boolean message() throws IOException, ProtocolException, InterruptedException {
-        int type = in.read();
-        if (type < 0 || !begin()) {
+    /** Reads one message; false if no more are wanted. */
+    private boolean message() throws IOException, ProtocolException {
+        awaitRoom();
+        int type = in.first();
+        if (!begin()) {
             return false;
         }
-        socket.setSoTimeout(MESSAGE_MS);
-        byte[] buffer = context.buffers().take();
-        byte[] body;
-        try {
-            int length = ByteBuffer.wrap(read(buffer, 0, 4)).getInt() - 4;
-            if (length < 0) {
-                throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + length + " bytes");
-            } else if (length > buffer.length) {
-                throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "a message of " + length + " bytes");
-            }
-            body = Arrays.copyOf(read(buffer, 0, length), length);
-        } finally {
-            context.buffers().give(buffer);
+        in.within(MESSAGE_MS);
+        int length = in.number() - Integer.BYTES;
+        if (length < 0) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + length + " bytes");
+        } else if (length > Buffers.SIZE) {
+            throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "a message of " + length + " bytes");
         }
-        socket.setSoTimeout(0);
-        turn.acquire();
         switch (type) {
-            case 'Q' -> query(body);
+            case 'Q' -> answerLater(query(length));
             case 'X' -> {
+                answerLater(new Turn(null, 0, false, null));
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
                     SqlState.FEATURE_NOT_SUPPORTED, "only simple queries are served here");
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of type " + type);
         }
-        return true;
+        synchronized (this) {
+            flooded = ahead.size() > MOST_AHEAD;
+            if (!flooded) {
+                return true;
+            }
+        }
+        throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "too many commands at once");
+    }
+
+    /** Reads the body of a query. */
+    private Turn query(int length) throws IOException, ProtocolException {
+        if (length <= SHORT) {
+            byte[] body = new byte[length];
+            in.read(body, length);
+            return new Turn(body, length, false, null);
+        }
+        byte[] buffer;
+        try {
+            buffer = context.buffers().take();
+        } catch (Buffers.NoneFree e) {
+            in.skip(length);
+            return new Turn(null, 0, false, ProtocolException.rejected(SqlState.TOO_MANY_CONNECTIONS,
+                    "too many long queries at once"));
+        }
+        boolean whole = false;
+        try {
+            in.read(buffer, length);
+            whole = true;
+            return new Turn(buffer, length, true, null);
+        } finally {
+            if (!whole) {
+                context.buffers().give(buffer);
+            }
+        }
+    }
+
+    /** Puts a turn behind those that wait, and sees that someone answers them. */
+    private void answerLater(Turn turn) {
+        synchronized (this) {
+            reading = false;
+            ahead.add(turn);
+            bytesAhead += turn.length();
+            if (answering) {
+                return;
+            }
+            answering = true;
+        }
+        context.clients().works(this);
+        try {
+            context.workers().execute(this::answerAll);
+        } catch (RejectedExecutionException e) {
+            counters.count(Counter.OVER_CAPACITY);
+            answerAll(); // no thread to be had: this one does it, blind meanwhile to a client that leaves
+        }
+    }
+
+    /** Answers what waits, in order, until nothing does. */
+    private void answerAll() {
+        for (Turn turn = next(); turn != null; turn = next()) {
+            try {
+                answer(turn);
+            } catch (IOException e) {
+                leave(); // nobody is left to be told
+            } catch (RuntimeException e) {
+                counters.count(Counter.INTERNAL_ERRORS);
+                Log.error("an answer failed here", e);
+                leave();
+            } finally {
+                release(turn);
+            }
+        }
+    }
+
+    /** The next turn to answer, or null; then the connection rests, or ends if it was to. */
+    private Turn next() {
+        boolean end;
+        synchronized (this) {
+            Turn turn = ahead.poll();
+            if (turn != null) {
+                bytesAhead -= turn.length();
+                notifyAll();
+                return turn;
+            }
+            answering = false;
+            end = ended || closing && !reading;
+        }
+        if (end) {
+            close();
+        } else {
+            context.clients().rests(this);
+        }
+        return null;
+    }
+
+    private void answer(Turn turn) throws IOException {
+        if (turn.wrong() != null) {
+            refuseInput(turn.wrong());
+        } else if (turn.query() == null) {
+            endAfterThis();
+        } else if (isFlooded()) {
+            counters.count(Counter.OVER_CAPACITY);
+            refuse(0);
+        } else {
+            try {
+                answerQuery(turn);
+            } catch (ProtocolException e) {
+                refuseInput(e);
+            }
+        }
+    }
+
+    private synchronized boolean isFlooded() {
+        return flooded;
+    }
+
+    private synchronized void endAfterThis() {
+        closing = true;
+    }
+
+    private void release(Turn turn) {
+        if (turn.pooled()) {
+            context.buffers().give(turn.query());
+        }
     }
 
-    private void query(byte[] body) throws IOException, ProtocolException, InterruptedException {
-        if (body.length == 0 || body[body.length - 1] != 0) {
+    private void answerQuery(Turn turn) throws IOException, ProtocolException {
+        byte[] query = turn.query();
+        int end = turn.length() - 1;
+        if (end < 0 || query[end] != 0) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a query that does not end in a zero");
         }
-        if (blank(body)) {
-            context.ready().await();
+        if (blank(query, end)) {
+            awaitReady();
             counters.count(Counter.EMPTY_QUERIES);
-            answer(message -> message.begin('I').end().readyForQuery());
-            done();
-            return;
-        }
-        if (isShowStats(body)) {
+            write(message -> message.begin('I').end().readyForQuery());
+        } else if (isShowStats(query, end)) {
             showStats();
-            done();
-            return;
+        } else {
+            Statement statement = Statement.parse(query, end);
+            Request request = context.balancer().taken(call(statement));
+            if (!begins(request)) {
+                context.balancer().left(request);
+            }
+            context.balancer().life(request, new PgExchange(statement));
+            begins(null);
         }
+    }
+
+    /** Notes the request that is under way, null for none; false if the client has left. */
+    private synchronized boolean begins(Request request) {
+        current = request;
+        return !ended;
+    }
+
+    private void awaitReady() {
         try {
-            Statement statement = Statement.parse(Arrays.copyOf(body, body.length - 1));
-            Request.Call call = call(statement);
-            start(context.balancer().taken(call), statement);
-        } catch (ProtocolException e) {
-            refuseInput(e);
-            done();
+            context.ready().await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
     /** PgBouncer's name for it: the counters, a row each. */
     private void showStats() throws IOException {
-        answer(message -> {
+        write(message -> {
             message.begin('T').putShort(2);
             column(message, "counter");
             column(message, "value").end();
@@ -242,15 +374,15 @@
         return message.put(text.length).put(text, 0, text.length);
     }
 
-    private static boolean isShowStats(byte[] body) {
+    private static boolean isShowStats(byte[] query, int end) {
         // 32 bytes hold the command with room for blanks; longer ones are statements
-        return body.length < 32 && new String(body, StandardCharsets.UTF_8).strip().toUpperCase(Locale.ROOT)
-                .matches("SHOW STATS\\s*;?\0");
+        return end < 32 && new String(query, 0, end, StandardCharsets.UTF_8).strip().toUpperCase(Locale.ROOT)
+                .matches("SHOW STATS\\s*;?");
     }
 
-    private static boolean blank(byte[] body) {
-        for (byte b : body) {
-            if (b != 0 && b != ' ' && b != ';' && b != '\n' && b != '\t' && b != '\r') {
+    private static boolean blank(byte[] query, int end) {
+        for (int i = 0; i < end; i++) {
+            if (query[i] != ' ' && query[i] != ';' && query[i] != '\n' && query[i] != '\t' && query[i] != '\r') {
                 return false;
             }
         }
@@ -274,22 +406,6 @@
                 statement.afterMs * Clock.MS, session ? statement.session() : 0, statement.group);
     }
 
-    private void start(Request request, Statement statement) throws IOException {
-        current = request;
-        try {
-            context.workers().execute(() -> {
-                context.balancer().life(request, new PgExchange(statement));
-                done();
-            });
-        } catch (RejectedExecutionException e) {
-            context.balancer().forget(request);
-            counters.count(Counter.OVER_CAPACITY);
-            counters.count(Counter.REFUSED);
-            refuse(context.deployment().settings().limits().maxRetryAfterNs());
-            done();
-        }
-    }
-
     /** The PostgreSQL side of one request. */
     private final class PgExchange implements Exchange {
         private final Statement statement;
@@ -318,10 +434,7 @@
         @Override
         public void serve() throws IOException {
             try {
-                ClientSession.this.answer(message -> {
-                    served.writeTo(message);
-                    message.readyForQuery();
-                });
+                guarded(() -> served.writeTo(out));
             } finally {
                 context.servers().giveBack(served);
             }
@@ -334,88 +447,117 @@
 
         @Override
         public void fail() throws IOException {
-            answer(message -> message.error(false, SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
+            write(message -> message.error(false, SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
                     "no answer came in time; the request may have run", null).readyForQuery());
         }
     }
 
     private void refuse(long waitNs) throws IOException {
         String waitMs = waitNs <= 0 ? null : Long.toString((waitNs + Clock.MS - 1) / Clock.MS);
-        answer(message -> message.error(false, SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time",
+        write(message -> message.error(false, SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time",
                 waitMs).readyForQuery());
     }
 
-    /** Writes an answer; a client that does not take it in time is cut off, and its thread goes free. */
-    private void answer(Consumer<Message> composer) throws IOException {
-        byte[] buffer = context.buffers().take();
+    /** Counts and answers bad input; the log has the first and then one in some, so that no flood fills it. */
+    private void refuseInput(ProtocolException e) throws IOException {
+        boolean capacity = e.sqlState.equals(SqlState.TOO_MANY_CONNECTIONS);
+        counters.count(capacity ? Counter.OVER_CAPACITY : Counter.BAD_INPUT);
+        if (!capacity && counters.get(Counter.BAD_INPUT) % LOG_EVERY == 1) {
+            Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
+        }
+        if (!e.framed) {
+            endAfterThis();
+        }
+        write(message -> {
+            message.error(!e.framed, e.sqlState, e.getMessage(), null);
+            if (e.framed) {
+                message.readyForQuery();
+            }
+        });
+    }
+
+    private void write(Consumer<Message> composer) throws IOException {
+        Message message = new Message(new byte[OWN_MESSAGES]);
+        composer.accept(message);
+        guarded(() -> message.writeTo(out));
+    }
+
+    private interface Writing {
+        void run() throws IOException;
+    }
+
+    /** Writes; a client that does not take it in time is cut off, and the thread goes free. */
+    private void guarded(Writing writing) throws IOException {
         Deadlines.Deadline timeOut = context.deadlines().after(MESSAGE_MS * Clock.MS, this::close);
         try {
-            Message message = new Message(buffer);
-            composer.accept(message);
-            message.writeTo(out);
+            writing.run();
         } finally {
             context.deadlines().cancel(timeOut);
-            context.buffers().give(buffer);
         }
     }
 
-    /** Counts and answers bad input; the log has the first and then one in some, so that no flood fills it. */
-    private void refuseInput(ProtocolException e) {
-        counters.count(Counter.BAD_INPUT);
-        if (counters.get(Counter.BAD_INPUT) % LOG_EVERY == 1) {
-            Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
-        }
+    /** Waits until not too much is read ahead: the rest stays with the client. */
+    private synchronized void awaitRoom() throws IOException {
         try {
-            answer(message -> {
-                message.error(!e.framed, e.sqlState, e.getMessage(), null);
-                if (e.framed) {
-                    message.readyForQuery();
-                }
-            });
-        } catch (IOException gone) {
-            // nobody is left to be told
-        }
-    }
-
-    private byte[] read(byte[] buffer, int from, int length) throws IOException {
-        if (in.readNBytes(buffer, from, length) < length) {
-            throw new EOFException("the client closed the connection");
+            while (bytesAhead > BYTES_AHEAD && !ended) {
+                wait();
+            }
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException();
         }
-        return buffer;
     }
 
-    /** A message has begun; false if the connection was closed under it. */
+    /** A message has begun; false if no more are taken because the connection is to end. */
     private synchronized boolean begin() {
-        if (!closing) {
-            busy++;
-        }
-        return !closing;
+        reading = !closing;
+        return reading;
     }
 
-    private void done() {
-        current = null;
+    /** The client has gone away: what it asked for is nobody's any more. */
+    private void leave() {
+        Request left;
+        List<Turn> dropped;
         synchronized (this) {
-            busy--;
-            if (closing && busy == 0) {
-                close();
-            }
-        }
-        turn.release();
+            ended = true;
+            left = current;
+            dropped = List.copyOf(ahead);
+            ahead.clear();
+            bytesAhead = 0;
+            notifyAll();
+        }
+        dropped.forEach(this::release);
+        if (left != null) {
+            context.balancer().left(left);
+        }
+        close();
     }
 
     /** Ends the connection as soon as nothing is being answered on it. */
-    synchronized void closeWhenIdle() {
-        closing = true;
-        if (busy == 0) {
-            close();
+    void closeWhenIdle() {
+        endAfterThis();
+        closeAtRest();
+    }
+
+    /** Ends the connection if nothing is coming in or being answered on it. */
+    void closeAtRest() {
+        synchronized (this) {
+            if (reading || answering) {
+                return;
+            }
+            closing = true;
         }
+        close();
     }
 
     void close() {
         try {
+            if (!socket.isClosed()) {
+                counters.count(Counter.CLIENTS_CLOSED);
+            }
             socket.close();
         } catch (IOException e) {
             // closing is all that was wanted
         }
+        context.clients().gone(this);
     }
 }
--- a/src/main/java/holdmux/pg/Listener.java
+++ b/src/main/java/holdmux/pg/Listener.java
@@ -7,8 +7,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 /** Accepts clients; at the cap each further one is refused at once. */
 final class Listener {
@@ -17,12 +15,9 @@
 
     private final ServerSocket server = new ServerSocket();
     private final ClientSession.Context context;
-    private final int most;
-    private final Set<ClientSession> sessions = ConcurrentHashMap.newKeySet();
 
-    Listener(InetSocketAddress address, ClientSession.Context context, int most) throws IOException {
+    Listener(InetSocketAddress address, ClientSession.Context context) throws IOException {
         this.context = context;
-        this.most = most;
         server.setReuseAddress(true);
         server.bind(address, BACKLOG);
     }
@@ -41,35 +36,29 @@
     }
 
     private void accept(Socket socket) throws IOException {
-        if (sessions.size() >= most) {
-            context.counters().count(Counter.CLIENTS_TURNED_AWAY);
+        socket.setTcpNoDelay(true);
+        ClientSession session = new ClientSession(socket, context);
+        if (!context.clients().admit(session)) {
             turnAway(socket);
             return;
         }
         context.counters().count(Counter.CLIENTS_ACCEPTED);
-        socket.setTcpNoDelay(true);
-        ClientSession session = new ClientSession(socket, context);
-        sessions.add(session);
         try {
-            Workers.thread("client", () -> {
-                try {
-                    session.run();
-                } finally {
-                    sessions.remove(session);
-                }
-            }).start();
+            Workers.thread("client", session).start();
         } catch (OutOfMemoryError e) {
             // no thread to be had: this client is turned away, the others stay
-            sessions.remove(session);
-            context.counters().count(Counter.CLIENTS_TURNED_AWAY);
+            context.clients().gone(session);
             turnAway(socket);
         }
     }
 
-    private static void turnAway(Socket socket) throws IOException {
+    private void turnAway(Socket socket) {
+        context.counters().count(Counter.CLIENTS_TURNED_AWAY);
         try (socket) {
             new Message(new byte[256]).error(true, SqlState.TOO_MANY_CONNECTIONS, "too many clients", null)
                     .writeTo(socket.getOutputStream());
+        } catch (IOException e) {
+            // it left by itself
         }
     }
 
@@ -78,10 +67,10 @@
     }
 
     void closeWhenIdle() {
-        sessions.forEach(ClientSession::closeWhenIdle);
+        context.clients().all().forEach(ClientSession::closeWhenIdle);
     }
 
     int open() {
-        return sessions.size();
+        return context.clients().size();
     }
 }
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -14,7 +14,7 @@
 public final class PgFront {
     /** Parts in 100 of the descriptors for clients and for servers; the rest is spare for discovery, the log
      * and the virtual machine. */
-    private static final int CLIENT_PART = 45, SERVER_PART = 35;
+    private static final int CLIENT_PART = 50, SERVER_PART = 35;
     /** Buffers in use at once on either side, so that slow clients cannot starve the servers' side: 96 of 136 KiB
      * are 13 MiB, and each is held only while a message passes. */
     private static final int MOST_BUFFERS = 96;
@@ -27,7 +27,8 @@
                 config.sockets() * SERVER_PART / 100);
         balancer.connect(servers, servers::closeAllIdle);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet, config.deployment(),
-                servers, new Buffers(MOST_BUFFERS), deadlines, counters, workers, ready), config.sockets() * CLIENT_PART / 100);
+                servers, new Buffers(MOST_BUFFERS), clock, deadlines, counters, workers, ready,
+                new Clients(config.sockets() * CLIENT_PART / 100, clock)));
     }
 
     /** Accepts clients until {@link #stopAccepting}. */
--- a/src/main/java/holdmux/pg/SqlState.java
+++ b/src/main/java/holdmux/pg/SqlState.java
@@ -12,6 +12,7 @@
     static final String SYNTAX_ERROR = "42601";
     static final String TOO_MANY_CONNECTIONS = "53300";
     static final String PROGRAM_LIMIT_EXCEEDED = "54000";
+    static final String QUERY_CANCELED = "57014";
     static final String CANNOT_CONNECT_NOW = "57P03";
     static final String SNAPSHOT_TOO_OLD = "72000";
 
--- a/src/main/java/holdmux/pg/Statement.java
+++ b/src/main/java/holdmux/pg/Statement.java
@@ -26,12 +26,14 @@
     /** The carried position of the session's last write in Unix milliseconds; 0 for none. */
     final long afterMs;
     private final byte[] text;
+    private final int length;
     /** Where the value of d lies in the text. */
     private final int waitFrom, waitTo;
 
-    private Statement(byte[] text, boolean write, String key, Map<String, String> values, int waitFrom, int waitTo)
+    private Statement(byte[] text, int length, boolean write, String key, Map<String, String> values, int waitFrom, int waitTo)
             throws ProtocolException {
         this.text = text;
+        this.length = length;
         this.write = write;
         this.key = key;
         this.waitFrom = waitFrom;
@@ -44,22 +46,22 @@
         retry = values.getOrDefault("r", "0").equals("1");
     }
 
-    /** Parses a statement in UTF-8 without its terminating zero. */
-    static Statement parse(byte[] text) throws ProtocolException {
+    /** Parses a statement in UTF-8, the first {@code length} bytes of the text, which it keeps. */
+    static Statement parse(byte[] text, int length) throws ProtocolException {
         try {
-            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(text));
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(text, 0, length));
         } catch (CharacterCodingException e) {
             throw ProtocolException.rejected(SqlState.CHARACTER_NOT_IN_REPERTOIRE, "the statement is not UTF-8");
         }
-        boolean write = startsWith(text, "INSERT ");
-        if (!write && !startsWith(text, "SELECT ")) {
+        boolean write = startsWith(text, length, "INSERT ");
+        if (!write && !startsWith(text, length, "SELECT ")) {
             throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "only SELECT and INSERT are served here");
         }
         String key = null;
         int from = -1;
-        for (int i = 0; i < text.length && from < 0; i++) {
+        for (int i = 0; i < length && from < 0; i++) {
             if (text[i] == '\'') {
-                int end = closingQuote(text, i + 1);
+                int end = closingQuote(text, length, i + 1);
                 if (end - i - 1 > MOST_LITERAL) {
                     throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 64 KiB");
                 }
@@ -67,18 +69,18 @@
                 i = end;
             } else if (text[i] == ';') {
                 throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "one statement per query");
-            } else if (text[i] == '/' && i + 1 < text.length && text[i + 1] == '*') {
+            } else if (text[i] == '/' && i + 1 < length && text[i + 1] == '*') {
                 from = i + 2;
             }
         }
-        int to = text.length - 2;
+        int to = length - 2;
         if (key == null || from < 0 || to < from || text[to] != '*' || text[to + 1] != '/') {
             throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the statement must name a key and end in a comment");
         }
-        return parseComment(text, write, key, from, to);
+        return parseComment(text, length, write, key, from, to);
     }
 
-    private static Statement parseComment(byte[] text, boolean write, String key, int from, int to)
+    private static Statement parseComment(byte[] text, int length, boolean write, String key, int from, int to)
             throws ProtocolException {
         if (to - from > MOST_COMMENT) {
             throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "the comment is too long");
@@ -106,14 +108,14 @@
             }
             at = end + 1;
         }
-        return new Statement(text, write, key, values, waitFrom, waitTo);
+        return new Statement(text, length, write, key, values, waitFrom, waitTo);
     }
 
     /** The place of the quote that ends a literal; a doubled quote is part of it. */
-    private static int closingQuote(byte[] text, int from) throws ProtocolException {
-        for (int i = from; i < text.length; i++) {
+    private static int closingQuote(byte[] text, int length, int from) throws ProtocolException {
+        for (int i = from; i < length; i++) {
             if (text[i] == '\'') {
-                if (i + 1 == text.length || text[i + 1] != '\'') {
+                if (i + 1 == length || text[i + 1] != '\'') {
                     return i;
                 }
                 i++;
@@ -122,8 +124,8 @@
         throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "a literal does not end");
     }
 
-    private static boolean startsWith(byte[] text, String word) {
-        return text.length >= word.length()
+    private static boolean startsWith(byte[] text, int length, String word) {
+        return length >= word.length()
                 && new String(text, 0, word.length(), StandardCharsets.ISO_8859_1).equalsIgnoreCase(word);
     }
 
@@ -161,6 +163,6 @@
     void writeTo(Message message, long limitMs) {
         byte[] limit = Long.toString(limitMs).getBytes(StandardCharsets.US_ASCII);
         message.begin('Q').put(text, 0, waitFrom).put(limit, 0, limit.length)
-                .put(text, waitTo, text.length - waitTo).put('\0').end();
+                .put(text, waitTo, length - waitTo).put('\0').end();
     }
 }
--- a/src/test/java/holdmux/pg/AnswerTest.java
+++ b/src/test/java/holdmux/pg/AnswerTest.java
@@ -9,6 +9,8 @@
 import holdmux.core.Reply;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.decision.SplitterApi.Role;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -54,7 +56,7 @@
     }
 
     @Test
-    void aServedAnswerTellsRolePositionAndReport() throws ProtocolException {
+    void aServedAnswerTellsRolePositionAndReport() throws ProtocolException, IOException {
         Answer answer = answer(SERVED);
         assertTrue(answer.whole());
         Reply reply = answer.reply();
@@ -62,7 +64,14 @@
         assertEquals(Role.REPLICA, reply.role());
         assertEquals(1_767_225_600_123L * MS, reply.positionNs());
         assertArrayEquals(new float[] {599.5f, 0, 7, 0.61f}, reply.report());
-        assertArrayEquals(bytes(m -> row(m, "v1")), bytes(answer::writeTo), "the client gets the row as it came");
+        ByteArrayOutputStream client = new ByteArrayOutputStream();
+        answer.writeTo(client);
+        assertArrayEquals(bytes(m -> row(m, "v1").readyForQuery()), client.toByteArray(), "the row as it came");
+        Answer full = new Answer(bytes(m -> row(m, "v1")), FORM); // a break left no room behind the row
+        full.parse(full.buffer.length);
+        ByteArrayOutputStream other = new ByteArrayOutputStream();
+        full.writeTo(other);
+        assertArrayEquals(client.toByteArray(), other.toByteArray());
     }
 
     @Test
--- a/src/test/java/holdmux/pg/PoolerTest.java
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -38,6 +39,9 @@
     private static final String WRITE = "INSERT INTO facts (code, data) VALUES ('7f', '\\x9f') RETURNING data "
             + "/* id=9b,c=save-quote,d=3000,cluster=2 */";
 
+    /** Descriptors of the pooler: half of them, 8, for clients. */
+    private static final int SOCKETS = 16;
+
     @TempDir
     Path folder;
     private final List<String> queries = new CopyOnWriteArrayList<>();
@@ -59,7 +63,8 @@
             port = free.getLocalPort();
         }
         Path file = folder.resolve("config.json");
-        Files.writeString(file, ConfigTest.sample().replace("127.0.0.1:5501", "127.0.0.1:" + server.getLocalPort()));
+        Files.writeString(file, ConfigTest.sample().replace("127.0.0.1:5501", "127.0.0.1:" + server.getLocalPort())
+                .replace("\"sockets\":1024", "\"sockets\":" + SOCKETS));
         Clock clock = new Clock();
         config = Config.load(Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_LISTEN", "127.0.0.1:" + port),
                 clock.now());
@@ -116,7 +121,7 @@
     }
 
     private static void send(Socket socket, Consumer<Message> composer) throws IOException {
-        Message message = new Message(new byte[4_096]);
+        Message message = new Message(new byte[Buffers.SIZE]);
         composer.accept(message);
         message.writeTo(socket.getOutputStream());
     }
@@ -150,6 +155,14 @@
         return types.toString().replace("RSSSSSSKZ", "hello ");
     }
 
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private Socket client() throws IOException {
         return new Socket(config.listen().getAddress(), config.listen().getPort());
     }
@@ -193,6 +206,104 @@
         assertTrue(queries.isEmpty());
     }
 
+    /** Statements longer than a usual one go through a buffer of the pool. */
+    @Test
+    void aLongStatementIsServedWhole() throws IOException {
+        assertEquals("hello TDCZ", ask(WRITE.replace("\\x9f", "\\x9f" + "ab".repeat(60_000))));
+        assertTrue(queries.get(0).length() > 120_000);
+    }
+
+    /** Guards against clients that connect and say nothing, or keep a connection they no longer use, filling the cap. */
+    @Test
+    void silentAndRestingClientsMakeRoom() throws Exception {
+        List<Socket> kept = new ArrayList<>();
+        try {
+            for (int i = 0; i < SOCKETS / 2; i++) {
+                kept.add(client());
+                send(kept.get(i), PoolerTest::startup);
+                assertEquals("hello ", types(kept.get(i), 1));
+            }
+            assertEquals("hello IZ", ask(""), "the longest silent made room");
+            assertEquals("|", types(kept.get(0), 1));
+            for (Socket asks : kept.subList(1, kept.size())) {
+                send(asks, m -> query(m, ""));
+                assertEquals("IZ", types(asks, 1));
+            }
+            assertEquals("hello IZ", ask(""), "there is room for one");
+            try (Socket one = client()) {
+                send(one, m -> {
+                    startup(m);
+                    query(m, "");
+                });
+                assertEquals("hello IZ", types(one, 2));
+                assertEquals("E53300|", types(client(), 1), "nobody has rested long enough");
+                Thread.sleep(2_100);
+                assertEquals("hello IZ", ask(""));
+                assertEquals("|", types(kept.get(1), 1), "the one that rested longest made room");
+            }
+        } finally {
+            for (Socket socket : kept) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Who hangs in a startup or a message is owed an end within 3 s; what it had asked before is answered first. */
+    @Test
+    void halfAMessageIsNotWaitedForLong() throws IOException {
+        try (Socket mute = client(); Socket half = client()) {
+            send(half, m -> {
+                startup(m);
+                query(m, "");
+                m.put('Q').put(100);
+            });
+            long start = System.nanoTime();
+            assertEquals("E57014|", types(mute, 1));
+            assertEquals("hello IZE57014|", types(half, 3));
+            assertTrue(System.nanoTime() - start < 2_800_000_000L);
+        }
+    }
+
+    /** A fault in what follows must not cut off the answer to what was taken before. */
+    @Test
+    void whatWasTakenIsAnsweredBeforeAnErrorBehindIt() throws Exception {
+        Consumer<Message> answer = script;
+        script = m -> {
+            pause(200);
+            answer.accept(m);
+        };
+        try (Socket client = client()) {
+            send(client, m -> {
+                startup(m);
+                query(m, WRITE);
+                m.put('Q').put(-5);
+            });
+            assertEquals("hello TDCZE08P01|", types(client, 3));
+        }
+    }
+
+    /** Hundreds of commands at once: the one under way is answered, the rest turned away, the connection closed. */
+    @Test
+    void aFloodOfCommandsIsTurnedAway() throws IOException {
+        Consumer<Message> answer = script;
+        script = m -> {
+            pause(300);
+            answer.accept(m);
+        };
+        try (Socket client = client()) {
+            send(client, PoolerTest::startup);
+            assertEquals("hello ", types(client, 1));
+            Message message = new Message(new byte[100_000]);
+            for (int i = 0; i < 300; i++) {
+                query(message, WRITE);
+            }
+            message.writeTo(client.getOutputStream());
+            String types = types(client, 301);
+            assertTrue(types.matches("TDCZ(E53300Z){30,40}E54000\\|"), types);
+            assertEquals(1, queries.size());
+        }
+    }
+
     @Test
     void countersAreShownOnRequest() throws IOException {
         String types = ask("show stats;");
@@ -224,10 +335,8 @@
         CountDownLatch go = new CountDownLatch(1);
         script = m -> {
             asked.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
+            while (go.getCount() > 0) {
+                pause(5);
             }
             AnswerTest.row(m, "v").readyForQuery();
         };
--- a/src/test/java/holdmux/pg/StatementTest.java
+++ b/src/test/java/holdmux/pg/StatementTest.java
@@ -21,7 +21,11 @@
             + "/* id=9b1f03aa5c7e2d41,c=order,d=4800,cluster=2,k=17 */";
 
     private static Statement parse(String text) throws ProtocolException {
-        return Statement.parse(text.getBytes(StandardCharsets.UTF_8));
+        return parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Statement parse(byte[] text) throws ProtocolException {
+        return Statement.parse(Arrays.copyOf(text, text.length + 9), text.length); // a buffer is longer than its text
     }
 
     private static String sent(Statement statement, long limitMs) {
@@ -69,7 +73,7 @@
         assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("d=480", "d=-1"));
         assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("cluster=2", "cluster=99999"));
         assertRejected(SqlState.PROGRAM_LIMIT_EXCEEDED, WRITE.replace("9f03", "ab".repeat(64 * 1024 + 1)));
-        ProtocolException e = assertThrows(ProtocolException.class, () -> Statement.parse(new byte[] {'S', (byte) 0xff}));
+        ProtocolException e = assertThrows(ProtocolException.class, () -> parse(new byte[] {'S', (byte) 0xff}));
         assertEquals(SqlState.CHARACTER_NOT_IN_REPERTOIRE, e.sqlState);
     }
 
@@ -89,7 +93,7 @@
     void noCutOfAStatementPasses(@ForAll boolean write, @ForAll @IntRange(max = 200) int at) {
         byte[] text = (write ? WRITE : READ).getBytes(StandardCharsets.UTF_8);
         byte[] cut = Arrays.copyOf(text, Math.min(at, text.length - 1));
-        assertThrows(ProtocolException.class, () -> Statement.parse(cut));
+        assertThrows(ProtocolException.class, () -> parse(cut));
     }
 
     /** Garbage may be refused but must not throw anything else. */
@@ -99,7 +103,7 @@
         System.arraycopy(garbage, 0, text, at, Math.min(garbage.length, text.length - at));
         for (byte[] input : new byte[][] {garbage, text}) {
             try {
-                assertTrue(Statement.parse(input).waitMs > 0);
+                assertTrue(parse(input).waitMs > 0);
             } catch (ProtocolException e) {
                 assertEquals(5, e.sqlState.length());
             }
