--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -1,23 +1,25 @@
 package holdmux.pg;
 
 import holdmux.core.Clock;
+import holdmux.core.Deadlines;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * The open client connections, never more than a cap. Clients keep connections for good, some after one request; so
- * once half the cap is in use, those that have rested longest are closed to make room. Sessions call in here without
- * holding their own lock.
+ * The open client connections, never more than a cap. Clients keep connections for good, some after one request, and
+ * may open only so many; so beyond a quarter of the cap those that have rested longest are closed time and again.
+ * Sessions call in here without holding their own lock.
  */
 final class Clients {
     /** A connection may be closed once it has rested this long: the platform's figure, and some for its clock. */
     private static final long REST_NS = 2_050 * Clock.MS;
-    /** Connections closed for each one that comes: more than one, so that the number falls. */
-    private static final int CLOSED_FOR_ONE = 2;
+    /** How often that is looked after: a small part of the rest. */
+    private static final long SWEEP_NS = 100 * Clock.MS;
+    /** Part of the cap that may rest in peace: clients that ask now and then need not connect anew. */
+    private static final int REST_PART = 4;
 
     private final int most;
     private final Clock clock;
@@ -26,18 +28,28 @@
     /** Those that have asked nothing yet, and those at rest since their last answer, with the time; oldest first. */
     private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), resting = new LinkedHashMap<>();
 
-    Clients(int most, Clock clock) {
+    Clients(int most, Clock clock, Deadlines deadlines) {
         this.most = most;
         this.clock = clock;
+        sweepLater(deadlines);
+    }
+
+    private void sweepLater(Deadlines deadlines) {
+        deadlines.after(SWEEP_NS, () -> {
+            sweep();
+            sweepLater(deadlines);
+        });
+    }
+
+    private synchronized void sweep() {
+        long before = clock.now() - REST_NS;
+        closeOldest(resting, before, open.size() - most / REST_PART);
+        closeOldest(silent, before, open.size() - most / REST_PART);
     }
 
     /** Takes in a new connection, for which others may be closed; false if there is no room. */
     synchronized boolean admit(ClientSession session) {
         long now = clock.now();
-        if (open.size() >= most / 2) {
-            closeOldest(resting, now - REST_NS, CLOSED_FOR_ONE);
-            closeOldest(silent, now - REST_NS, CLOSED_FOR_ONE);
-        }
         if (open.size() >= most) {
             closeOldest(silent, now, 1); // whoever connects and says nothing must not keep out those who ask
         }
@@ -50,14 +62,8 @@
     }
 
     private static void closeOldest(Map<ClientSession, Long> of, long before, int count) {
-        Iterator<Map.Entry<ClientSession, Long>> oldest = List.copyOf(of.entrySet().stream().limit(count).toList())
-                .iterator();
-        while (oldest.hasNext()) {
-            Map.Entry<ClientSession, Long> entry = oldest.next();
-            if (entry.getValue() <= before) {
-                entry.getKey().closeAtRest();
-            }
-        }
+        of.entrySet().stream().limit(Math.max(0, count)).takeWhile(e -> e.getValue() <= before).map(Map.Entry::getKey)
+                .toList().forEach(ClientSession::closeAtRest);
     }
 
     synchronized void works(ClientSession session) {
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -28,7 +28,7 @@
         balancer.connect(servers, servers::closeAllIdle);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet, config.deployment(),
                 servers, new Buffers(MOST_BUFFERS), clock, deadlines, counters, workers, ready,
-                new Clients(config.sockets() * CLIENT_PART / 100, clock)));
+                new Clients(config.sockets() * CLIENT_PART / 100, clock, deadlines)));
     }
 
     /** Accepts clients until {@link #stopAccepting}. */
