Skip stores that cannot be reached in a panic too, and make room from half messages

The client cap turned away 700 connections in 2 s though silent ones were there. Causes: usable() let every ill store serve in a panic; sessionStore() kept an ill replica. Clients.admit picked only the eldest silent session, which could not be closed while half a message was coming in. Change: a store whose connects fail (cut) gets trials only; an ill replica is not kept; at the cap the oldest that asked nothing well-formed goes, half a message or not.

--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -118,8 +118,8 @@
         /** Connections of it that broke since its last answer. */
         int breaks;
         double outWork;
-        /** Health: ill since when, for silence or not, whether its process seemed down, its next rest. */
-        boolean ill, silent, down;
+        /** Health: ill since when, if silent, if its process seemed down or none could connect; its rest. */
+        boolean ill, silent, down, cut;
         long illAt, rest = REST_FIRST_NS, unansweredSince, answeredAt;
         /** Whether it has ever answered or was in the first list: others must earn their place by a probe. */
         boolean proven, listedGone;
@@ -303,7 +303,7 @@
         }
         if (verdict != Verdict.NONE || checks) {
             Store kept = session == null ? null : session.replica;
-            if (kept != null && fits(kept, o, token) && usable(kept, o)) {
+            if (kept != null && !kept.ill && fits(kept, o, token) && usable(kept, o)) {
                 return kept;
             }
             Store picked = randomFit(o, token);
@@ -693,6 +693,7 @@
             }
             case CONNECT_FAILED -> {
                 suspect(s);
+                s.cut = true;
                 s.down |= s.breaks > 0;
             }
             case RESET -> broke(s);
@@ -703,7 +704,7 @@
 
     private void answeredWell(Store s) {
         s.coldSince = s.ill && s.down ? now : s.coldSince;
-        s.ill = s.silent = s.down = false;
+        s.ill = s.silent = s.down = s.cut = false;
         s.proven = true;
         s.answeredAt = s.unansweredSince = now;
         s.breaks = 0;
@@ -769,7 +770,7 @@
         if (!s.listed() || !s.proven || !coldRoom(s, base[o.classIndex])) {
             return false;
         }
-        if (s.ill && !panic(o.group)) {
+        if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no better for being one of many
             return s.out == 0 && s.nextTrial <= now && (s.probedWellAt >= s.illAt || !limits.probes());
         }
         long aim = o.arrived + o.type.onTimeNs();
@@ -877,12 +878,14 @@
         touched.add(s.group);
         if (e.outcome() == Outcome.OK) {
             s.proven = true;
+            s.cut = false;
             s.probedWellAt = now;
         } else if (e.outcome() == Outcome.RESET) {
             broke(s);
         } else if (e.outcome() != Outcome.FULL && s.answeredAt < s.probedAt && s.probedAt > stalledAt) {
             suspect(s);
             s.down |= e.outcome() != Outcome.ERROR;
+            s.cut |= e.outcome() == Outcome.CONNECT_FAILED;
         }
         int needed = Math.max(settings.positionField(), settings.primaryField());
         if (e.outcome() != Outcome.OK || settings.positionField() < 0 || e.report().length <= needed) {
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -233,7 +233,6 @@
             }
             answering = true;
         }
-        context.clients().works(this);
         try {
             context.workers().execute(this::answerAll);
         } catch (RejectedExecutionException e) {
@@ -318,14 +317,17 @@
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a query that does not end in a zero");
         }
         if (blank(query, end)) {
+            context.clients().works(this);
             awaitReady();
             counters.count(Counter.EMPTY_QUERIES);
             write(message -> message.begin('I').end().readyForQuery());
         } else if (isShowStats(query, end)) {
+            context.clients().works(this);
             showStats();
         } else {
             Statement statement = Statement.parse(query, end);
             Request request = context.balancer().taken(call(statement));
+            context.clients().works(this);
             if (!begins(request)) {
                 context.balancer().left(request);
             }
@@ -549,6 +551,18 @@
         close();
     }
 
+    /** Ends the connection of a client that has asked nothing well-formed; false if it is being told so. */
+    boolean closeUnlessAnswering() {
+        synchronized (this) {
+            if (answering) {
+                return false;
+            }
+            ended = true;
+        }
+        close();
+        return true;
+    }
+
     void close() {
         try {
             if (!socket.isClosed()) {
--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -3,6 +3,7 @@
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,8 @@
     private final Clock clock;
     /** All that are open, at most {@link #most}. */
     private final Set<ClientSession> open = new HashSet<>();
-    /** Those that have asked nothing yet, and those at rest since their last answer, with the time; oldest first. */
+    /** Those that have asked nothing well-formed yet, with when they came, and those at rest since their last answer;
+     * oldest first. */
     private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), resting = new LinkedHashMap<>();
 
     Clients(int most, Clock clock, Deadlines deadlines) {
@@ -51,7 +53,11 @@
     synchronized boolean admit(ClientSession session) {
         long now = clock.now();
         if (open.size() >= most) {
-            closeOldest(silent, now, 1); // whoever connects and says nothing must not keep out those who ask
+            // whoever has asked nothing that can be answered must not keep out those who ask
+            boolean closed = false;
+            for (Iterator<ClientSession> i = List.copyOf(silent.keySet()).iterator(); !closed && i.hasNext();) {
+                closed = i.next().closeUnlessAnswering();
+            }
         }
         if (open.size() >= most) {
             return false;
@@ -72,7 +78,7 @@
     }
 
     synchronized void rests(ClientSession session) {
-        if (open.contains(session)) {
+        if (open.contains(session) && !silent.containsKey(session)) {
             resting.remove(session);
             resting.put(session, clock.now());
         }
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -209,6 +209,23 @@
     }
 
     /** Lucky answers once dragged the usual time down, until every store looked silent. */
+    /** In a panic ill stores serve too, but what could not be reached is no use: it took a connect's time each. */
+    @Test
+    void whatCannotBeReachedIsSkippedEvenInAPanic() {
+        Front f = front();
+        for (int i = 0; i < 20; i++) {
+            f.at(5, f.probe(1, 0, true));
+            long store = sentTo(f.at(5, request(i, ANY, 0)));
+            int attempt = 0;
+            for (; store > 1; attempt++) {
+                store = sentTo(f.at(5, f.answer(i, attempt, store, Outcome.CONNECT_FAILED, Role.UNKNOWN, 0)));
+            }
+            assertEquals(1, store);
+            assertTrue(i < 2 || attempt == 0, "request " + i);
+            f.at(5, f.answer(i, attempt, 1, Outcome.OK, Role.PRIMARY, 0));
+        }
+    }
+
     @Test
     void scatteredAnswersDoNotMakeStoresLookSilent() {
         Front f = front();
