--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -770,7 +770,7 @@
         if (!s.listed() || !s.proven || !coldRoom(s, base[o.classIndex])) {
             return false;
         }
-        if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no better for being one of many
+        if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no use, whatever the others do
             return s.out == 0 && s.nextTrial <= now && (s.probedWellAt >= s.illAt || !limits.probes());
         }
         long aim = o.arrived + o.type.onTimeNs();
