--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -14,14 +14,14 @@
 public final class ReadWriteSplitter {
     private static final long MS = 1_000_000L;
 
-    /** The soonest that a timer is set for: two steps of the usual wire. */
-    private static final long TICK_NS = 10 * MS;
+    /** The soonest that a timer is set for, in steps of the wire. */
+    private static final int TICK_STEPS = 2;
     /** Held requests are looked at again after this part of their wait so far; answers wake them too. */
     private static final long LOOK_AGAIN = 4;
     /** A timer later than this shows that this front itself stood still: far beyond any batch. */
     private static final long STALL_NS = 100 * MS;
-    /** How long a reported queue is held to be true; it drains or grows within a few service times. */
-    private static final double QUEUE_NS = 500.0 * MS;
+    /** How long a reported queue is held to be true, in tightest aims; it drains in a few service times. */
+    private static final double QUEUE_AIMS = 5.0 / 3;
     /** Probes for each request that comes in: their price stays below what stale reports cost. */
     private static final double PROBES_PER_REQUEST = 0.5;
     /** Probes saved up at most, so that no burst follows a quiet spell; half is kept for what is in doubt. */
@@ -45,10 +45,10 @@
     private static final double CORES = 4;
     /** A store with work out is silent after this many of its usual gaps between answers ... */
     private static final double SILENT_GAPS = 12;
-    /** ... but never sooner than this, the length of an ordinary pause. */
-    private static final long SILENT_LEAST_NS = 400 * MS;
-    /** First rest of an ill store; each further one lasts twice as long, up to the longest. */
-    private static final long REST_FIRST_NS = 400 * MS;
+    /** ... but never sooner than this many tightest aims, the length of an ordinary pause. */
+    private static final double SILENT_AIMS = 4.0 / 3;
+    /** First rest of an ill store, in tightest aims; each further one is twice as long, up to the longest. */
+    private static final double REST_AIMS = 4.0 / 3;
     private static final long REST_LONGEST_NS = 4_000 * MS;
     /** Broken connections in a row that make it ill: spoilt answers, one in 30 on bad days, seldom do. */
     private static final int BREAKS = 3;
@@ -120,7 +120,7 @@
         double outWork;
         /** Health: ill since when, if silent, if its process seemed down or none could connect; its rest. */
         boolean ill, silent, down, cut;
-        long illAt, rest = REST_FIRST_NS, unansweredSince, answeredAt;
+        long illAt, rest, unansweredSince, answeredAt;
         /** Whether it has ever answered or was in the first list: others must earn their place by a probe. */
         boolean proven, listedGone;
         boolean probing;
@@ -133,14 +133,20 @@
         double coldLevel;
         long coldSince, coldAt;
 
-        Store(long id) {
+        Store(long id, long rest) {
             this.id = id;
+            this.rest = rest;
         }
 
         boolean listed() {
             return availability == Availability.READY;
         }
 
+        /** When it was last asked for a report or told one. */
+        long seenAt() {
+            return Math.max(probedAt, queueAt);
+        }
+
         /** Part of the group for the verdict and for panic; one that is called gone and is ill is not. */
         boolean counts() {
             return listed() && proven && !(listedGone && ill);
@@ -208,6 +214,8 @@
     private final Set<Group> touched = new LinkedHashSet<>();
     private Consumer<Action> sink;
     private final long tightestBound;
+    /** Times that follow the settings, since work and aims differ between deployments. */
+    private final long tick, silentLeast, restFirst, queueTime;
 
     public ReadWriteSplitter(Settings settings, long seed) {
         this.settings = settings;
@@ -217,6 +225,11 @@
         random = new SplittableRandom(seed);
         tightestBound = settings.classes().stream().mapToLong(RequestClass::boundNs).filter(b -> b > 0)
                 .min().orElse(Long.MAX_VALUE);
+        tick = TICK_STEPS * settings.stepNs();
+        long aim = settings.classes().stream().mapToLong(RequestClass::onTimeNs).min().orElseThrow();
+        silentLeast = (long) (SILENT_AIMS * aim);
+        restFirst = (long) (REST_AIMS * aim);
+        queueTime = (long) (QUEUE_AIMS * aim);
         base = new double[settings.classes().size()];
         samples = new int[base.length];
         for (int i = 0; i < base.length; i++) {
@@ -260,7 +273,7 @@
 
     /** Sets a timer unless an earlier one is set; without work there is none. */
     private void wake(long at) {
-        long soonest = Math.max(at, now + TICK_NS);
+        long soonest = Math.max(at, now + tick);
         if (soonest < wakeAt) {
             wakeAt = soonest;
             sink.accept(new Schedule(wakeAt - now, TICK));
@@ -406,7 +419,7 @@
      * against all fronts piling their reads on one primary; costs a probe's time where replicas lag.
      */
     private boolean hasRoom(Store s) {
-        boolean asked = now - s.queueAt > QUEUE_NS && settings.queueField() >= 0 && inspect(s);
+        boolean asked = now - s.queueAt > queueTime && settings.queueField() >= 0 && inspect(s);
         return !asked && queue(s) < 1 && s.out < ROOM * Math.max(FREE_SLOTS, s.load);
     }
 
@@ -439,7 +452,7 @@
         s.unansweredSince = s.unansweredSince == 0 ? now : s.unansweredSince;
         s.nextTrial = s.ill ? now + s.rest : s.nextTrial;
         unhold(o);
-        wake(Math.min(o.giveUpAt, now + SILENT_LEAST_NS));
+        wake(Math.min(o.giveUpAt, now + silentLeast));
         sink.accept(new Transmit(o.id, s.id, Math.max(1, limit(o, s))));
         return true;
     }
@@ -534,7 +547,7 @@
         for (Open o : all) {
             boolean hopeless = o.held && o.inFlight == 0
                     && (now + base[o.classIndex] / 2 > o.giveUpAt || !repeatable(o)
-                    || !o.reached && now + TICK_NS >= o.holdUntil); // the next look would be too late
+                    || !o.reached && now + tick >= o.holdUntil); // the next look would be too late
             if (now >= o.giveUpAt || hopeless) {
                 finish(o);
             } else if (!o.done) {
@@ -544,7 +557,7 @@
                     probe(o.group);
                     wake(lookAgain(o));
                 } else {
-                    wake(Math.min(o.giveUpAt, now + SILENT_LEAST_NS / LOOK_AGAIN));
+                    wake(Math.min(o.giveUpAt, now + silentLeast / LOOK_AGAIN));
                 }
             }
         }
@@ -588,6 +601,7 @@
         }
         o.reached |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touched.add(o.group);
+        reported(a.store, e.report());
         evidence(o, a, e);
         health(o, a, e);
         if (e.isFinal() || o.done) {
@@ -615,7 +629,7 @@
         } else if (e.role() == Role.REPLICA) {
             leadsNot(s, now);
         }
-        if (e.positionNs() > 0) {
+        if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // commits are rounded up
             s.known = Math.max(s.known, e.positionNs());
             if (e.role() == Role.REPLICA) {
                 sawLag(s, Math.max(0, now - e.positionNs()));
@@ -671,7 +685,7 @@
                 if (a.sentAt > stalledAt) {
                     pace(s, o.classIndex, e.latencyNs(), a.outAtSend);
                 }
-                s.rest = Math.max(REST_FIRST_NS, s.rest / 2);
+                s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
                     suspect(o.erred); // it failed what another store served
                 }
@@ -734,7 +748,7 @@
             return;
         }
         s.nextTrial = now + s.rest;
-        s.rest = s == s.group.leader ? REST_FIRST_NS : Math.min(REST_LONGEST_NS, 2 * s.rest);
+        s.rest = s == s.group.leader ? restFirst : Math.min(REST_LONGEST_NS, 2 * s.rest);
     }
 
     /** Learns how long a class takes in quiet times, and how much longer this store takes now. */
@@ -755,7 +769,7 @@
 
     /** The reported queue, which says less the older it is. */
     private double queue(Store s) {
-        return s.queue == 0 ? 0 : s.queue * Math.exp(-(now - s.queueAt) / QUEUE_NS);
+        return s.queue == 0 ? 0 : s.queue * Math.exp(-(now - s.queueAt) / (double) queueTime);
     }
 
     private double expected(Store s, int classIndex) {
@@ -832,7 +846,7 @@
         if (s.out > 0 && !s.silent && s.unansweredSince > 0) {
             double gap = s.outWork / s.out * Math.max(1, s.ratio) / Math.max(1, Math.min(s.out, s.load));
             long since = Math.max(stalledAt, s.unansweredSince);
-            if (now - since > Math.max(SILENT_LEAST_NS, SILENT_GAPS * gap)) {
+            if (now - since > Math.max(silentLeast, SILENT_GAPS * gap)) {
                 suspect(s);
                 s.silent = true;
                 s.illAt = now;
@@ -847,11 +861,11 @@
         for (Store s : g.members) {
             if ((lost || s.ill || !s.proven) && s.nextTrial <= now) {
                 inspect(s);
-            } else if (s.listed() && !s.probing && (stalest == null || s.probedAt < stalest.probedAt)) {
+            } else if (s.listed() && !s.probing && (stalest == null || s.seenAt() < stalest.seenAt())) {
                 stalest = s;
             }
         }
-        boolean worth = stalest != null && now - stalest.probedAt >= 2 * PROBE_GAP_NS;
+        boolean worth = stalest != null && now - stalest.seenAt() >= 2 * PROBE_GAP_NS;
         if (worth && probeTokens > PROBE_BURST / 2) {
             inspect(stalest);
         }
@@ -887,18 +901,28 @@
             s.down |= e.outcome() != Outcome.ERROR;
             s.cut |= e.outcome() == Outcome.CONNECT_FAILED;
         }
+        if (e.outcome() == Outcome.OK) {
+            reported(s, e.report());
+        }
+    }
+
+    /** What a load report says; one that is not whole or is ahead of time says nothing. */
+    private void reported(Store s, float[] report) {
         int needed = Math.max(settings.positionField(), settings.primaryField());
-        if (e.outcome() != Outcome.OK || settings.positionField() < 0 || e.report().length <= needed) {
+        if (settings.positionField() < 0 || report.length <= needed) {
             return;
         }
-        double full = reported(e, settings.utilField()) > UTIL_FULL ? 1 : 0;
-        double excess = Math.max(full, reported(e, settings.inflightField()) - CORES);
-        s.queue = Math.max(excess, reported(e, settings.queueField()));
-        s.queueAt = now;
-        float seconds = Math.nextDown(e.report()[settings.positionField()]);
+        float seconds = Math.nextDown(report[settings.positionField()]);
         long position = settings.zeroNs() + (long) (seconds * 1e9);
+        if (position > now) {
+            return;
+        }
+        double full = field(report, settings.utilField()) > UTIL_FULL ? 1 : 0;
+        double excess = Math.max(full, field(report, settings.inflightField()) - CORES);
+        s.queue = Math.max(excess, field(report, settings.queueField()));
+        s.queueAt = now;
         s.known = Math.max(s.known, position);
-        boolean primary = settings.primaryField() >= 0 && e.report()[settings.primaryField()] == 1f;
+        boolean primary = settings.primaryField() >= 0 && report[settings.primaryField()] == 1f;
         if (primary) {
             reportAge += FOLLOW * (now - position - reportAge);
             leads(s, Math.max(position, 1));
@@ -910,8 +934,8 @@
         }
     }
 
-    private static double reported(Checked e, int field) {
-        return field >= 0 && field < e.report().length ? e.report()[field] : 0;
+    private static double field(float[] report, int field) {
+        return field >= 0 && field < report.length ? report[field] : 0;
     }
 
     private void listChanged(ListChanged e) {
@@ -931,7 +955,7 @@
 
     private void listed(Listing line, boolean first) {
         Group group = groups.computeIfAbsent(line.group(), g -> new Group());
-        Store s = stores.computeIfAbsent(line.store(), Store::new);
+        Store s = stores.computeIfAbsent(line.store(), id -> new Store(id, restFirst));
         s.proven |= first;
         if (line.availability() == Availability.GONE) {
             s.group = group;
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -256,6 +256,39 @@
         }
     }
 
+    /** Reports that came with answers once went unread; one ahead of time must not make stale reads look fresh. */
+    @Test
+    void aReportInAnAnswerCountsLikeAProbes() {
+        Front f = front();
+        long first = sentTo(f.at(5, request(1, ANY, 0)));
+        float[] report = {(float) ((f.now - Front.ZERO) / 1e9), 0, 600};
+        f.at(5, new Answered(1, first, 0, true, Outcome.OK, 5 * MS, Role.REPLICA, 0, report));
+        for (int i = 2; i < 30; i++) {
+            long store = sentTo(f.at(5, request(i, ANY, 0)));
+            assertTrue(store != first, "sent to the full store");
+            if (store != 0) {
+                f.at(2, f.answer(i, 0, store, Outcome.OK, Role.UNKNOWN, 0));
+            }
+        }
+        Front ahead = new Front(settings(Guards.OFF, true), 5).listed();
+        ahead.at(5, ahead.probe(2, -60_000, false), ahead.probe(3, -60_000, false));
+        assertEquals(1, ahead.sentWhenAsked(5_000, request(1, Front.VIEW, 0)), "replicas are not known to be fresh");
+    }
+
+    /** Work and aims are scaled by deployment: with short ones, 400 ms of silence are longer than any deadline. */
+    @Test
+    void silenceIsMeasuredByTheAims() {
+        Settings s = settings(Guards.REFUSE, true);
+        List<RequestClass> quick = s.classes().stream().map(c -> new RequestClass(c.consistency(), c.boundNs(),
+                c.onTimeNs() / 4, c.deadlineNs(), c.worth(), c.lateWorth(), c.effect(), c.scope(), c.windowNs())).toList();
+        Front f = new Front(new Settings(s.me(), s.balancers(), s.zone(), s.stepNs(), quick, s.quotas(),
+                s.overShareWorth(), s.guards(), s.waitNs(), s.zeroNs(), s.remembered(), s.showsRole(),
+                s.mustSubscribe(), s.rules(), s.limits(), s.positionField(), s.primaryField(), s.queueField(),
+                s.inflightField(), s.utilField()), 5).listed();
+        f.at(5, request(1, ANY, 0));
+        assertTrue(f.pass(380).contains(new Retract(1, 0)), "taken back from the silent store");
+    }
+
     /** Late requests once built a queue at the primary that made every fresh write late too. */
     @Test
     void aLateRequestDoesNotQueueWhereAFreshOneWouldNot() {
