--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -10,6 +10,7 @@
 import holdmux.core.Fleet;
 import holdmux.core.Log;
 import holdmux.core.Workers;
+import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
 import holdmux.pg.PgFront;
 import holdmux.simhost.SimHost;
@@ -26,8 +27,12 @@
     private static final long DISCOVERY_MS = 1_000;
     /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
     private static final long ACCEPT_MS = 600;
-    /** All that was taken is answered by its deadline, 5 s at most, and SIGKILL comes 0.7 s after that. */
-    private static final long DRAIN_MS = 5_500;
+    /** SIGKILL may come this long after SIGTERM and the longest deadline, of which no more than 3 s count. */
+    private static final long KILL_MS = 700, LONGEST_MS = 3_000;
+    /** Kept clear of SIGKILL: the program's own end on a busy core. */
+    private static final long EXIT_MS = 200;
+    /** Before the end connections at rest are closed: time enough for an answer of the usual kind. */
+    private static final long CLOSE_MS = 200;
     private static final long LOOK_MS = 20;
     /** The counters go to the log once a minute, as is usual for poolers. */
     private static final long REPORT_MS = 60_000;
@@ -75,7 +80,7 @@
         Workers.thread("discovery", watch).start();
         Workers.thread("reload", () -> reload(hangUps, config, watch, counters)).start();
         reportLater(deadlines, counters);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, counters), "drain"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, config, counters), "drain"));
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         front.run();
     }
@@ -107,15 +112,25 @@
         });
     }
 
-    /** SIGTERM: goes on accepting for a while, answers all that was taken, then lets the program end. */
-    private static void drain(PgFront front, Counters counters) {
+    /**
+     * SIGTERM: goes on accepting for a while and serving the connections there are for as long as it may live, since
+     * their clients would find no other pooler sooner; takes nothing that it could not answer by then.
+     */
+    private static void drain(PgFront front, Config config, Counters counters) {
         try {
             Log.info("draining");
+            long longest = config.deployment().settings().classes().stream()
+                    .mapToLong(RequestClass::deadlineNs).max().orElse(0) / Clock.MS;
+            long end = KILL_MS + Math.min(LONGEST_MS, longest) - EXIT_MS;
             long start = System.nanoTime();
+            front.endAfter(end * Clock.MS);
             Thread.sleep(ACCEPT_MS);
             front.stopAccepting();
-            while (front.openClients() > 0 && System.nanoTime() - start < DRAIN_MS * Clock.MS) {
-                front.closeWhenIdle();
+            for (long past = 0; front.openClients() > 0 && past < end;
+                    past = (System.nanoTime() - start) / Clock.MS) {
+                if (past >= end - CLOSE_MS) {
+                    front.closeWhenIdle();
+                }
                 Thread.sleep(LOOK_MS);
             }
             Log.info("ends with " + front.openClients() + " clients; " + counters);
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -286,7 +286,7 @@
             endAfterThis();
         } else if (isFlooded()) {
             counters.count(Counter.OVER_CAPACITY);
-            refuse(0);
+            refuse(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once", 0);
         } else {
             try {
                 answerQuery(turn);
@@ -326,8 +326,15 @@
             showStats();
         } else {
             Statement statement = Statement.parse(query, end);
-            Request request = context.balancer().taken(call(statement));
+            Request.Call call = call(statement);
             context.clients().works(this);
+            if (context.clients().timeLeft() < waitNs(statement) && statement.write) {
+                // it could not be told how the write ended; another pooler can take it
+                endAfterThis();
+                refuse(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
+                return;
+            }
+            Request request = context.balancer().taken(call);
             if (!begins(request)) {
                 context.balancer().left(request);
             }
@@ -404,10 +411,14 @@
             throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "the class does not go with the statement");
         }
         boolean session = statement.write || type.consistency() == Consistency.SESSION;
-        return new Request.Call(index, statement.retry, Math.max(1, statement.waitMs - UNDERWAY_MS) * Clock.MS,
+        return new Request.Call(index, statement.retry, Math.max(1, Math.min(waitNs(statement), context.clients().timeLeft())),
                 statement.afterMs * Clock.MS, session ? statement.session() : 0, statement.group);
     }
 
+    private static long waitNs(Statement statement) {
+        return Math.max(1, statement.waitMs - UNDERWAY_MS) * Clock.MS;
+    }
+
     /** The PostgreSQL side of one request. */
     private final class PgExchange implements Exchange {
         private final Statement statement;
@@ -444,7 +455,7 @@
 
         @Override
         public void refuse(long waitNs) throws IOException {
-            ClientSession.this.refuse(waitNs);
+            ClientSession.this.refuse(SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time", waitNs);
         }
 
         @Override
@@ -454,10 +465,9 @@
         }
     }
 
-    private void refuse(long waitNs) throws IOException {
+    private void refuse(String sqlState, String words, long waitNs) throws IOException {
         String waitMs = waitNs <= 0 ? null : Long.toString((waitNs + Clock.MS - 1) / Clock.MS);
-        write(message -> message.error(false, SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time",
-                waitMs).readyForQuery());
+        write(message -> message.error(false, sqlState, words, waitMs).readyForQuery());
     }
 
     /** Counts and answers bad input; the log has the first and then one in some, so that no flood fills it. */
--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -23,6 +23,8 @@
     private static final int REST_PART = 4;
 
     private final int most;
+    /** When the program ends; far away until it is told to. */
+    private volatile long endsAt = Long.MAX_VALUE;
     private final Clock clock;
     /** All that are open, at most {@link #most}. */
     private final Set<ClientSession> open = new HashSet<>();
@@ -43,7 +45,11 @@
         });
     }
 
+    /** Not while the program ends: who keeps a connection then may find no other. */
     private synchronized void sweep() {
+        if (endsAt != Long.MAX_VALUE) {
+            return;
+        }
         long before = clock.now() - REST_NS;
         closeOldest(resting, before, open.size() - most / REST_PART);
         closeOldest(silent, before, open.size() - most / REST_PART);
@@ -90,6 +96,15 @@
         resting.remove(session);
     }
 
+    void endAfter(long afterNs) {
+        endsAt = clock.now() + afterNs;
+    }
+
+    /** How long there is for a request that comes now. */
+    long timeLeft() {
+        return endsAt - clock.now();
+    }
+
     synchronized int size() {
         return open.size();
     }
--- a/src/main/java/holdmux/pg/Listener.java
+++ b/src/main/java/holdmux/pg/Listener.java
@@ -62,6 +62,10 @@
         }
     }
 
+    void endAfter(long afterNs) {
+        context.clients().endAfter(afterNs);
+    }
+
     void stopAccepting() throws IOException {
         server.close();
     }
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -36,6 +36,11 @@
         listener.run();
     }
 
+    /** The program ends after this: from now on nothing is taken that may need longer. */
+    public void endAfter(long afterNs) {
+        listener.endAfter(afterNs);
+    }
+
     public void stopAccepting() throws IOException {
         listener.stopAccepting();
     }
