--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -21,8 +21,6 @@
 
 /** Starts the pooler ({@code serve}) or the simulator's adapter ({@code simhost}). */
 public final class Main {
-    /** Threads for requests and probes: the requests that fit in the time-outs at several times the usual rate. */
-    private static final int MOST_WORKERS = 300;
     /** Readiness does not wait longer for discovery: the cached list serves when the agent is down. */
     private static final long DISCOVERY_MS = 1_000;
     /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
@@ -64,7 +62,7 @@
         Config config = Config.load(System.getenv(), clock.now());
         Deadlines deadlines = new Deadlines(clock);
         Counters counters = new Counters();
-        Workers workers = new Workers(MOST_WORKERS);
+        Workers workers = new Workers(config.caps().workers());
         Fleet fleet = new Fleet(config.deployment().zones(), config.deployment().kinds());
         Balancer balancer = new Balancer(config.deployment().settings(), config.seed(),
                 config.deployment().connectTimeoutNs(), clock, deadlines, counters, fleet, workers);
--- /dev/null
+++ b/src/main/java/holdmux/config/Caps.java
@@ -0,0 +1,27 @@
+package holdmux.config;
+
+/**
+ * How much the program takes on at once, from the limits that it was told: client connections, server connections,
+ * worker threads, and buffers on either side.
+ */
+public record Caps(int clients, int servers, int workers, int buffers) {
+    /** Parts in 100 of the descriptors; the rest is spare for discovery, the log and the virtual machine. */
+    private static final int CLIENT_PART = 50, SERVER_PART = 35;
+    /** What the virtual machine may take in all by its flags in deploy/balancer.toml: 64 MiB of heap, and some 25 MiB
+     * of metaspace, code cache and its own structures as measured. */
+    private static final int MACHINE_MB = 89;
+    /** Measured for a client with a request under way: two threads' stacks and their sockets. */
+    private static final int CLIENT_KB = 128;
+    /** Too little memory must not shut out everyone; the machine's heap is seldom full. */
+    private static final int LEAST_CLIENTS = 32;
+    /** Probes beside the requests: two for each server of the largest fleet. */
+    private static final int PROBES = 40;
+    /** A quarter of the heap for buffers of 136 KiB, in two sets; each is held only while a long message passes. */
+    private static final int BUFFERS = 60;
+
+    static Caps of(int sockets, int memoryMb) {
+        int byMemory = Math.max(LEAST_CLIENTS, (memoryMb - MACHINE_MB) * 1_024 / CLIENT_KB);
+        int clients = Math.max(1, Math.min(sockets * CLIENT_PART / 100, byMemory));
+        return new Caps(clients, Math.max(1, sockets * SERVER_PART / 100), clients + PROBES, BUFFERS);
+    }
+}
--- a/src/main/java/holdmux/config/Config.java
+++ b/src/main/java/holdmux/config/Config.java
@@ -27,6 +27,10 @@
         return decode(text(env), env, deployment.settings().zeroNs(), true);
     }
 
+    public Caps caps() {
+        return Caps.of(sockets, memoryMb);
+    }
+
     /** What the program took up at its start and can only change by a restart. */
     public boolean needsRestartFor(Config next) {
         return !(next.listen.equals(listen) && next.memoryMb == memoryMb && next.sockets == sockets
--- a/src/test/java/holdmux/config/ConfigTest.java
+++ b/src/test/java/holdmux/config/ConfigTest.java
@@ -65,6 +65,19 @@
         assertThrows(ConfigException.class, () -> config.reload(env));
     }
 
+    /** Caps follow the limits told, never one machine's figures, and leave descriptors and memory to spare. */
+    @Test
+    void capsFollowTheLimits() {
+        for (int[] limit : new int[][] {{256, 128}, {384, 144}, {1_024, 192}, {1_024, 96}}) {
+            Caps caps = Caps.of(limit[0], limit[1]);
+            assertTrue(caps.clients() + caps.servers() <= limit[0] * 9 / 10);
+            assertTrue(caps.workers() > caps.clients());
+            assertTrue(64 + 25 + caps.clients() / 8 <= limit[1], caps.toString());
+        }
+        assertEquals(128, Caps.of(256, 128).clients());
+        assertEquals(32, Caps.of(256, 32).clients());
+    }
+
     @Test
     void flattensToTheSimulatorsForm() {
         Map<String, String> flat = Flattener.flatten(new JSONObject(
