--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -50,6 +50,8 @@
     /** First rest of an ill store, in tightest aims; each further one is twice as long, up to the longest. */
     private static final double REST_AIMS = 4.0 / 3;
     private static final long REST_LONGEST_NS = 4_000 * MS;
+    /** No process starts anew within this: what is back sooner had lost connections, but no warmth. */
+    private static final long RESTART_NS = 1_000 * MS;
     /** Broken connections in a row that make it ill: spoilt answers, one in 30 on bad days, seldom do. */
     private static final int BREAKS = 3;
     /** Weight of an ill store in the pick when most of its group looks ill: a trial now and then. */
@@ -717,7 +719,7 @@
     }
 
     private void answeredWell(Store s) {
-        s.coldSince = s.ill && s.down ? now : s.coldSince;
+        s.coldSince = s.ill && s.down && now - s.illAt > RESTART_NS ? now : s.coldSince;
         s.ill = s.silent = s.down = s.cut = false;
         s.proven = true;
         s.answeredAt = s.unansweredSince = now;
@@ -726,8 +728,8 @@
 
     /**
      * One connection broke: an answer was spoilt, an idle close crossed a request, or the process ended. Only
-     * some breaks with no answer between make a store ill, and only a refused connect behind them shows that
-     * it is cold: warm ones must not be shut out. Costs further attempts at a store that is down.
+     * some breaks with no answer between make a store ill, and only if it stays so for a while is it taken to
+     * be cold: warm ones must not be shut out. Costs further attempts at a store that is down.
      */
     private void broke(Store s) {
         s.breaks++;
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -160,6 +160,29 @@
         }
     }
 
+    /** On a day of resets a warm store was taken for restarted, and so cold, by each connect that was reset. */
+    @Test
+    void aShortIllnessDoesNotMakeAStoreCold() {
+        Front f = front();
+        f.at(5, new ListChanged(ListMode.DELTA, 2, List.of(line(3, false, 0, Availability.GONE))));
+        f.at(5, request(1, ANY, 0));
+        f.at(5, f.answer(1, 0, 2, Outcome.RESET, Role.UNKNOWN, 0));
+        f.at(5, f.answer(1, 1, 1, Outcome.OK, Role.PRIMARY, 0));
+        f.at(5, request(2, ANY, 0));
+        f.at(5, f.answer(2, 0, 2, Outcome.CONNECT_FAILED, Role.UNKNOWN, 0));
+        f.at(5, f.answer(2, 1, 1, Outcome.OK, Role.PRIMARY, 0));
+        f.at(560, f.probe(2, 0, false));
+        for (int i = 10; i < 40; i++) {
+            long store = sentTo(f.at(20, request(i, ANY, 0)));
+            f.at(5, new Answered(i, store, 0, true, Outcome.OK, 60 * MS, Role.UNKNOWN, 0, new float[0]));
+        }
+        long sent = 0;
+        for (int i = 100; i < 110; i++) {
+            sent += sends(f.at(1, request(i, ANY, 0))).stream().filter(s -> s.store() == 2).count();
+        }
+        assertTrue(sent >= 3, sent + " of 10 went to a store that was ill for half a second");
+    }
+
     /** What cold stores may take was once measured by late sends, so that little sent meant less to send. */
     @Test
     void aQuietSpellDoesNotShrinkTheColdBudget() {
