--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -75,6 +75,8 @@
     /** Whether a message has begun to come in, one is being answered, too many came at once, the connection is to
      * end once all is answered, and has ended. */
     private boolean reading, answering, flooded, closing, ended;
+    /** Whether the input was ended from here, and whether nobody reads any more, so that who answers last closes. */
+    private boolean ending, unread;
     private Request current;
 
     ClientSession(Socket socket, Context context) throws IOException {
@@ -97,9 +99,12 @@
                 close();
             }
         } catch (ProtocolException e) {
+            readNoMore();
             answerLater(new Turn(null, 0, false, e));
         } catch (IOException e) {
-            leave(); // the client is gone, or was told to go
+            if (!endsAfterAnswer()) {
+                leave(); // the client is gone, or was told to go
+            }
         } catch (RuntimeException e) {
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("a client could not be read", e);
@@ -166,9 +171,7 @@
     private boolean message() throws IOException, ProtocolException {
         awaitRoom();
         int type = in.first();
-        if (!begin()) {
-            return false;
-        }
+        begin();
         in.within(MESSAGE_MS);
         int length = in.number() - Integer.BYTES;
         if (length < 0) {
@@ -179,6 +182,7 @@
         switch (type) {
             case 'Q' -> answerLater(query(length));
             case 'X' -> {
+                readNoMore();
                 answerLater(new Turn(null, 0, false, null));
                 return false;
             }
@@ -187,12 +191,9 @@
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of type " + type);
         }
         synchronized (this) {
-            flooded = ahead.size() > MOST_AHEAD;
-            if (!flooded) {
-                return true;
-            }
+            flooded |= ahead.size() > MOST_AHEAD;
         }
-        throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "too many commands at once");
+        return true;
     }
 
     /** Reads the body of a query. */
@@ -269,10 +270,12 @@
                 return turn;
             }
             answering = false;
+            flooded = false;
+            notifyAll();
             end = ended || closing && !reading;
         }
         if (end) {
-            close();
+            end();
         } else {
             context.clients().rests(this);
         }
@@ -508,10 +511,10 @@
         }
     }
 
-    /** Waits until not too much is read ahead: the rest stays with the client. */
+    /** Waits until not too much is read ahead, and after a flood until all of it is turned away. */
     private synchronized void awaitRoom() throws IOException {
         try {
-            while (bytesAhead > BYTES_AHEAD && !ended) {
+            while ((flooded || bytesAhead > BYTES_AHEAD) && !ended) {
                 wait();
             }
         } catch (InterruptedException e) {
@@ -519,10 +522,41 @@
         }
     }
 
-    /** A message has begun; false if no more are taken because the connection is to end. */
-    private synchronized boolean begin() {
-        reading = !closing;
-        return reading;
+    private synchronized void begin() {
+        reading = true;
+    }
+
+    private synchronized void readNoMore() {
+        unread = true;
+    }
+
+    /**
+     * Ends a connection at rest. Its reader does it, woken by the end of its input: were it closed from here, a request
+     * that the reader had just taken in would be lost. What comes later is unread, and its client asks again.
+     */
+    private void end() {
+        boolean mine;
+        boolean again;
+        synchronized (this) {
+            mine = unread || ended;
+            again = ending;
+            ending = true;
+        }
+        try {
+            if (mine) {
+                close();
+            } else if (!again) {
+                socket.shutdownInput();
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    /** At the end of the input: whether that was our doing and a request slipped in before it. */
+    private synchronized boolean endsAfterAnswer() {
+        unread = true;
+        return ending && answering;
     }
 
     /** The client has gone away: what it asked for is nobody's any more. */
@@ -544,6 +578,10 @@
         close();
     }
 
+    private synchronized boolean isReading() {
+        return reading;
+    }
+
     /** Ends the connection as soon as nothing is being answered on it. */
     void closeWhenIdle() {
         endAfterThis();
@@ -558,18 +596,22 @@
             }
             closing = true;
         }
-        close();
+        end();
     }
 
     /** Ends the connection of a client that has asked nothing well-formed; false if it is being told so. */
     boolean closeUnlessAnswering() {
         synchronized (this) {
-            if (answering) {
+            if (answering || closing) {
                 return false;
             }
-            ended = true;
+            closing = true;
+        }
+        if (isReading()) {
+            close(); // half a message: nothing was taken
+        } else {
+            end();
         }
-        close();
         return true;
     }
 
--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -3,7 +3,6 @@
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,10 +16,15 @@
 final class Clients {
     /** A connection may be closed once it has rested this long: the platform's figure, and some for its clock. */
     private static final long REST_NS = 2_050 * Clock.MS;
-    /** How often that is looked after: a small part of the rest. */
-    private static final long SWEEP_NS = 100 * Clock.MS;
+    /** Beyond half the cap a crowd is on, and whoever rests longest goes after this: several times the way there and
+     * back, so that a client about to ask again is not cut off. */
+    private static final long CROWD_REST_NS = 100 * Clock.MS;
+    /** How often that is looked after. */
+    private static final long SWEEP_NS = 50 * Clock.MS;
     /** Part of the cap that may rest in peace: clients that ask now and then need not connect anew. */
     private static final int REST_PART = 4;
+    /** Clients hold at most two thirds of the cap for requests. */
+    private static final int CROWD_PART = 2;
 
     private final int most;
     /** When the program ends; far away until it is told to. */
@@ -52,6 +56,7 @@
         }
         long before = clock.now() - REST_NS;
         closeOldest(resting, before, open.size() - most / REST_PART);
+        closeOldest(resting, clock.now() - CROWD_REST_NS, open.size() - most / CROWD_PART);
         closeOldest(silent, before, open.size() - most / REST_PART);
     }
 
@@ -60,10 +65,8 @@
         long now = clock.now();
         if (open.size() >= most) {
             // whoever has asked nothing that can be answered must not keep out those who ask
-            boolean closed = false;
-            for (Iterator<ClientSession> i = List.copyOf(silent.keySet()).iterator(); !closed && i.hasNext();) {
-                closed = i.next().closeUnlessAnswering();
-            }
+            List.copyOf(silent.keySet()).stream().filter(ClientSession::closeUnlessAnswering).findFirst()
+                    .ifPresent(this::gone);
         }
         if (open.size() >= most) {
             return false;
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -2,11 +2,13 @@
 
 import holdmux.config.Caps;
 import holdmux.config.Config;
+import holdmux.config.Deployment;
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
+import holdmux.core.Log;
 import holdmux.core.Workers;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
@@ -14,11 +16,13 @@
 /** The PostgreSQL front end: its listener, its clients and its connections to servers. */
 public final class PgFront {
     private final Listener listener;
+    private final Deployment deployment;
 
     public PgFront(Config config, Balancer balancer, Fleet fleet, Clock clock, Deadlines deadlines,
             Counters counters, Workers workers, CountDownLatch ready) throws IOException {
         // a set of buffers for each side, so that slow clients cannot starve the servers' side
         Caps caps = config.caps();
+        deployment = config.deployment();
         ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
                 config.deployment(), caps.servers());
         balancer.connect(servers, servers::closeAllIdle);
@@ -27,8 +31,13 @@
                 new Clients(caps.clients(), clock, deadlines)));
     }
 
-    /** Accepts clients until {@link #stopAccepting}. */
+    /** Accepts clients until {@link #stopAccepting}; what comes before it is warm waits in the kernel. */
     public void run() {
+        try {
+            Rehearsal.run(deployment);
+        } catch (ProtocolException | RuntimeException e) {
+            Log.error("the rehearsal failed; the first requests will be slow", e);
+        }
         listener.run();
     }
 
--- /dev/null
+++ b/src/test/java/holdmux/pg/RehearsalTest.java
@@ -0,0 +1,22 @@
+package holdmux.pg;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.Config;
+import holdmux.config.ConfigTest;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RehearsalTest {
+    /** Guards against a rehearsal that no longer reaches what it is to warm: parsed answers and sends. */
+    @Test
+    void theRehearsalParsesAndSends(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, ConfigTest.sample());
+        Config config = Config.load(Map.of("BALANCER_CONFIG", file.toString()), 1_767_225_000_000_000_000L);
+        assertTrue(Rehearsal.run(config.deployment()) > 2_000);
+    }
+}
