--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -12,9 +12,13 @@
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
+import holdmux.management.ManagementServer;
+import holdmux.management.Operations;
+import holdmux.management.StateFile;
 import holdmux.pg.PgFront;
 import holdmux.simhost.SimHost;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import sun.misc.Signal;
@@ -79,6 +83,15 @@
         Workers.thread("reload", () -> reload(hangUps, config, watch, counters)).start();
         reportLater(deadlines, counters);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, config, counters), "drain"));
+        String folder = System.getenv("TMPDIR");
+        Operations operations = new Operations(new StateFile(folder == null ? null : Path.of(folder)), fleet::lists,
+                () -> ready.getCount() == 0 && front.isServing(), orders -> {
+                    balancer.leaveOut(orders.excluded());
+                    front.sendAway(orders.evacuated());
+                }, () -> { }, () -> clock.now() / Clock.MS);
+        if (config.management() != null) {
+            Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
+        }
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         front.run();
     }
--- a/src/main/java/holdmux/config/Config.java
+++ b/src/main/java/holdmux/config/Config.java
@@ -8,9 +8,12 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 
-/** All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int memoryMb,
-        int sockets, HostList known, Deployment deployment) {
+/**
+ * All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits, {@code management} is
+ * null where the operators have no address of their own.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress management,
+        long seed, int memoryMb, int sockets, HostList known, Deployment deployment) {
     /** A fleet of twenty servers and its settings take 10 KiB; this is room for thousands. */
     private static final long MOST_BYTES = 1 << 20;
 
@@ -54,10 +57,12 @@
             JSONObject all = new JSONObject(json);
             Map<String, String> settings = Flattener.flatten(all.getJSONObject("settings"));
             settings.put("family-info.zero-ns", String.valueOf(zeroNs));
+            String management = named(all, "management", env, "BALANCER_MANAGEMENT", fileFirst);
             JSONObject limits = all.getJSONObject("limits");
             return new Config(named(all, "name", env, "BALANCER_NAME", fileFirst),
                     address(named(all, "listen", env, "BALANCER_LISTEN", fileFirst)),
                     address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)),
+                    management.isEmpty() ? null : address(management),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
                     limits.getInt("sockets"), HostList.decode(all.getJSONObject("known")),
                     new SettingsReader(settings).deployment());
--- a/src/main/java/holdmux/config/HostList.java
+++ b/src/main/java/holdmux/config/HostList.java
@@ -12,7 +12,12 @@
 public record HostList(long seq, boolean whole, List<Host> hosts) {
     /** One server; {@code dial} is null for one that is gone, {@code bornMs} is 0 for long ago. */
     public record Host(String name, InetSocketAddress dial, String site, String kind, int group, Availability availability,
-            double share, long bornMs, boolean primary) {}
+            double share, long bornMs, boolean primary) {
+        /** The same server, started anew at this time. */
+        public Host bornAt(long ms) {
+            return new Host(name, dial, site, kind, group, availability, share, ms, primary);
+        }
+    }
 
     /** Decodes one document; what does not have discovery's form is a {@link ConfigException}. */
     public static HostList decode(String json) {
--- a/src/main/java/holdmux/core/Balancer.java
+++ b/src/main/java/holdmux/core/Balancer.java
@@ -6,12 +6,14 @@
 import holdmux.decision.SplitterApi.Action;
 import holdmux.decision.SplitterApi.Answered;
 import holdmux.decision.SplitterApi.Arrived;
+import holdmux.decision.SplitterApi.Availability;
 import holdmux.decision.SplitterApi.Checked;
 import holdmux.decision.SplitterApi.ClientLeft;
 import holdmux.decision.SplitterApi.CloseIdle;
 import holdmux.decision.SplitterApi.Decline;
 import holdmux.decision.SplitterApi.Event;
 import holdmux.decision.SplitterApi.Inspect;
+import holdmux.decision.SplitterApi.ListChanged;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.decision.SplitterApi.Remark;
 import holdmux.decision.SplitterApi.RespondError;
@@ -75,6 +77,19 @@
         }
     }
 
+    /** Leaves out just these servers, named with the Unix time in milliseconds since when, from now on. */
+    public void leaveOut(Map<String, Long> servers) {
+        lock.lock();
+        try {
+            ListChanged change = fleet.leaveOut(servers, clock.now() / Clock.MS);
+            feed(change);
+            change.lines().stream().filter(line -> line.availability() == Availability.DRAINING)
+                    .forEach(line -> closeIdle.accept(line.store()));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** A request that has come in whole; its life must be started, or be given up with {@link #left}. */
     public Request taken(Request.Call call) {
         lock.lock();
--- a/src/main/java/holdmux/core/Fleet.java
+++ b/src/main/java/holdmux/core/Fleet.java
@@ -26,6 +26,11 @@
     private final Map<Long, String> names = new HashMap<>();
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Set<Integer> groups = new HashSet<>();
+    /** What discovery said last of each server that is not gone. */
+    private final Map<String, Host> told = new HashMap<>();
+    /** Servers that the operators left out, with the Unix time in milliseconds since when; no list undoes it. */
+    private Map<String, Long> excluded = Map.of();
+    private long generation;
 
     public Fleet(List<String> zones, List<String> kinds) {
         this.zones = zones;
@@ -45,12 +50,37 @@
         return names.get(store);
     }
 
+    /** Whether discovery lists a server of this name. */
+    public synchronized boolean lists(String name) {
+        return told.containsKey(name);
+    }
+
+    /**
+     * Leaves out just these servers from now on, and tells what that changes as the module's event: who is left out
+     * drains, whatever the list says; who is put back was restarted meanwhile, for all we know, and is cold.
+     */
+    synchronized ListChanged leaveOut(Map<String, Long> servers, long nowMs) {
+        Map<String, Long> before = excluded;
+        excluded = Map.copyOf(servers);
+        List<Listing> lines = new ArrayList<>();
+        told.replaceAll((name, host) -> {
+            boolean back = before.containsKey(name) && !excluded.containsKey(name);
+            Host now = !back || host.bornMs() >= before.get(name) ? host : host.bornAt(nowMs);
+            if (back || excluded.containsKey(name) && !before.containsKey(name)) {
+                lines.add(listing(now));
+            }
+            return now;
+        });
+        return new ListChanged(ListMode.DELTA, generation, lines);
+    }
+
     /** Takes in a list and tells it as the module's event; a whole list removes what it omits. */
     synchronized ListChanged take(HostList list, boolean cached) {
         if (list.whole()) {
             Set<Long> listed = new HashSet<>();
             list.hosts().forEach(host -> listed.add(store(host.name())));
             addresses.keySet().retainAll(listed);
+            told.values().removeIf(host -> !listed.contains(store(host.name())));
         }
         List<Listing> lines = new ArrayList<>();
         for (Host host : list.hosts()) {
@@ -58,17 +88,25 @@
             groups.add(host.group());
             if (host.availability() == Availability.GONE) {
                 addresses.remove(store);
+                told.remove(host.name());
             } else {
                 addresses.put(store, host.dial());
+                told.put(host.name(), host);
             }
-            lines.add(new Listing(store, host.group(), Math.max(0, zones.indexOf(host.site())),
-                    Math.max(0, kinds.indexOf(host.kind())), host.availability(), host.primary(),
-                    host.bornMs() * MS, host.share()));
+            lines.add(listing(host));
         }
+        generation = list.seq();
         ListMode mode = cached ? ListMode.CACHED : list.whole() ? ListMode.FULL : ListMode.DELTA;
         return new ListChanged(mode, list.seq(), lines);
     }
 
+    private Listing listing(Host host) {
+        boolean out = host.availability() == Availability.READY && excluded.containsKey(host.name());
+        return new Listing(store(host.name()), host.group(), Math.max(0, zones.indexOf(host.site())),
+                Math.max(0, kinds.indexOf(host.kind())), out ? Availability.DRAINING : host.availability(),
+                host.primary(), host.bornMs() * MS, host.share());
+    }
+
     /** From the name alone, so that every pooler orders the servers alike; the module's choice of one rests on it. */
     private long store(String name) {
         return stores.computeIfAbsent(name, n -> {
--- /dev/null
+++ b/src/main/java/holdmux/management/ManagementServer.java
@@ -0,0 +1,231 @@
+package holdmux.management;
+
+import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Log;
+import holdmux.core.Workers;
+import holdmux.discovery.HttpHead;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The operators' HTTP/1.1 calls, one a connection, at an address of their own. Shares neither threads nor deadlines with
+ * the clients, so that no load delays a call; and who never finishes a call makes room for the next.
+ */
+public final class ManagementServer implements Runnable {
+    /** Calls at once: a few operators and their scripts. Part of the descriptors kept spare. */
+    private static final int MOST_CALLS = 16;
+    /** A call must be whole within this; its caller waits 1 s. */
+    private static final int CALL_MS = 2_000;
+    /** After a failed accept or bind: soon enough for an operator. */
+    private static final int AGAIN_MS = 200;
+    /** No call needs a body; one within this is read and passed over, so that the answer is not cut off by it. */
+    private static final int MOST_BODY = 65_536;
+
+    private record Result(int status, String words) {}
+
+    private final InetSocketAddress address;
+    private final Operations operations;
+    private final Counters counters;
+    /** The calls under way, the oldest first. */
+    private final Set<Socket> calls = new LinkedHashSet<>();
+
+    public ManagementServer(InetSocketAddress address, Operations operations, Counters counters) {
+        this.address = address;
+        this.operations = operations;
+        this.counters = counters;
+    }
+
+    /** Listens for ever; an address that is still taken, by the process before this one, is tried again. */
+    @Override
+    public void run() {
+        boolean told = false;
+        while (true) {
+            try (ServerSocket server = new ServerSocket()) {
+                server.setReuseAddress(true);
+                server.bind(address);
+                Log.info("management at " + address);
+                while (true) {
+                    begin(server.accept());
+                }
+            } catch (IOException e) {
+                if (!told) {
+                    Log.warn("management cannot listen at " + address + ": " + e.getMessage());
+                }
+                told = true;
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(AGAIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void begin(Socket socket) {
+        Socket oldest = null;
+        synchronized (calls) {
+            calls.add(socket);
+            if (calls.size() > MOST_CALLS) {
+                oldest = calls.iterator().next();
+                calls.remove(oldest);
+            }
+        }
+        close(oldest);
+        try {
+            Workers.thread("management call", () -> call(socket)).start();
+        } catch (OutOfMemoryError e) {
+            end(socket); // no thread to be had: the caller may try again
+        }
+    }
+
+    private void call(Socket socket) {
+        try {
+            socket.setTcpNoDelay(true);
+            Result result = heard(new BufferedInputStream(new Timed(socket)));
+            counters.count(result.status < 300 ? Counter.MANAGEMENT_CALLS : Counter.MANAGEMENT_REFUSED);
+            String body = "{\"status\":\"" + result.words + "\"}\n";
+            socket.getOutputStream().write(("HTTP/1.1 " + result.status + " " + reason(result.status)
+                    + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+                    + "\r\nConnection: close\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            counters.count(Counter.MANAGEMENT_REFUSED); // the caller has gone, or never finished its call
+        } finally {
+            end(socket);
+        }
+    }
+
+    private Result heard(InputStream in) throws IOException {
+        try {
+            HttpHead head = HttpHead.read(in);
+            String[] parts = head.first().split(" ");
+            if (parts.length != 3 || !parts[2].matches("HTTP/1\\.[01]")) {
+                return new Result(400, "not an HTTP/1.1 call");
+            }
+            long body = Math.max(0, head.contentLength());
+            if (body > MOST_BODY || head.headers().containsKey("transfer-encoding")) {
+                return new Result(413, "no body is wanted");
+            }
+            in.skipNBytes(body);
+            return answer(parts[0], path(parts[1]));
+        } catch (Unfinished e) {
+            return new Result(408, "the call was not whole in time");
+        } catch (IOException | URISyntaxException e) {
+            return new Result(400, "the call cannot be read");
+        }
+    }
+
+    private static String path(String target) throws URISyntaxException {
+        String path = new URI(target).getPath();
+        return path == null ? "" : path;
+    }
+
+    private Result answer(String method, String path) {
+        String[] names = path.split("/", -1);
+        String what = names.length >= 3 && names[0].isEmpty() && names[1].equals("api") ? names[2] : "";
+        String server = names.length == 4 ? names[3] : "";
+        boolean onServer = what.equals("exclude") || what.equals("include");
+        boolean known = what.equals("ready") || onServer || what.equals("evacuate") || what.equals("rejoin");
+        if (!known || names.length != (onServer ? 4 : 3)) {
+            return new Result(404, "no such call");
+        }
+        if (!method.equals(what.equals("ready") ? "GET" : "PUT")) {
+            return new Result(405, "another method is wanted");
+        }
+        try {
+            return switch (what) {
+                case "ready" -> operations.ready() ? new Result(200, "ready") : new Result(503, "not ready");
+                case "exclude" -> done(operations.exclude(server));
+                case "include" -> done(operations.include(server));
+                default -> done(operations.evacuate(what.equals("evacuate")));
+            };
+        } catch (IOException | RuntimeException e) {
+            Log.error("an operators' order could not be kept", e);
+            return new Result(500, "the order could not be kept");
+        }
+    }
+
+    private static Result done(boolean yes) {
+        return yes ? new Result(200, "done") : new Result(404, "no such server");
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
+            case 413 -> "Content Too Large";
+            case 503 -> "Service Unavailable";
+            default -> "Internal Server Error";
+        };
+    }
+
+    private void end(Socket socket) {
+        synchronized (calls) {
+            calls.remove(socket);
+        }
+        close(socket);
+    }
+
+    private static void close(Socket socket) {
+        try {
+            if (socket != null) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            // closing is all that was wanted
+        }
+    }
+
+    /** The call was not whole in time. */
+    private static final class Unfinished extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** What comes within the time of one call, however often a byte of it drops in. */
+    private static final class Timed extends InputStream {
+        private final Socket socket;
+        private final InputStream in;
+        private final long by = System.nanoTime() + CALL_MS * 1_000_000L;
+
+        Timed(Socket socket) throws IOException {
+            this.socket = socket;
+            in = socket.getInputStream();
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] into, int from, int length) throws IOException {
+            long left = (by - System.nanoTime()) / 1_000_000L;
+            if (left <= 0) {
+                throw new Unfinished();
+            }
+            socket.setSoTimeout((int) left);
+            try {
+                return in.read(into, from, length);
+            } catch (java.net.SocketTimeoutException e) {
+                throw new Unfinished();
+            }
+        }
+    }
+}
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -272,7 +272,7 @@
             answering = false;
             flooded = false;
             notifyAll();
-            end = ended || closing && !reading;
+            end = ended || (closing || context.clients().sendsAway()) && !reading;
         }
         if (end) {
             end();
@@ -321,6 +321,10 @@
         }
         if (blank(query, end)) {
             context.clients().works(this);
+            if (context.clients().isAway()) {
+                refuse(SqlState.CANNOT_CONNECT_NOW, "this pooler sends its clients away", 0);
+                return;
+            }
             awaitReady();
             counters.count(Counter.EMPTY_QUERIES);
             write(message -> message.begin('I').end().readyForQuery());
--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -25,10 +25,15 @@
     private static final int REST_PART = 4;
     /** Clients hold at most two thirds of the cap for requests. */
     private static final int CROWD_PART = 2;
+    /** Clients are sent away this long after the order: the front asks ten times a second and stops 0.2 s after a no,
+     * and who is sent away sooner only comes here again. */
+    private static final long AWAY_NS = 400 * Clock.MS;
 
     private final int most;
     /** When the program ends; far away until it is told to. */
     private volatile long endsAt = Long.MAX_VALUE;
+    /** Since when clients are sent away; far away while they are not. */
+    private volatile long awaySince = Long.MAX_VALUE;
     private final Clock clock;
     /** All that are open, at most {@link #most}. */
     private final Set<ClientSession> open = new HashSet<>();
@@ -54,6 +59,11 @@
         if (endsAt != Long.MAX_VALUE) {
             return;
         }
+        if (sendsAway()) {
+            List.copyOf(resting.keySet()).forEach(ClientSession::closeAtRest);
+            closeOldest(silent, clock.now() - AWAY_NS, open.size());
+            return;
+        }
         long before = clock.now() - REST_NS;
         closeOldest(resting, before, open.size() - most / REST_PART);
         closeOldest(resting, clock.now() - CROWD_REST_NS, open.size() - most / CROWD_PART);
@@ -99,6 +109,21 @@
         resting.remove(session);
     }
 
+    /** Sends clients away from now on, or no longer; a repeated order changes nothing. */
+    void away(boolean yes) {
+        awaySince = !yes ? Long.MAX_VALUE : isAway() ? awaySince : clock.now();
+    }
+
+    /** Whether readiness is denied. */
+    boolean isAway() {
+        return awaySince != Long.MAX_VALUE;
+    }
+
+    /** Whether a connection is to end as soon as it rests. */
+    boolean sendsAway() {
+        return isAway() && clock.now() - awaySince >= AWAY_NS;
+    }
+
     void endAfter(long afterNs) {
         endsAt = clock.now() + afterNs;
     }
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -16,7 +16,9 @@
 /** The PostgreSQL front end: its listener, its clients and its connections to servers. */
 public final class PgFront {
     private final Listener listener;
+    private final Clients clients;
     private final Deployment deployment;
+    private volatile boolean serving;
 
     public PgFront(Config config, Balancer balancer, Fleet fleet, Clock clock, Deadlines deadlines,
             Counters counters, Workers workers, CountDownLatch ready) throws IOException {
@@ -26,9 +28,10 @@
         ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
                 config.deployment(), caps.servers());
         balancer.connect(servers, servers::closeAllIdle);
+        clients = new Clients(caps.clients(), clock, deadlines);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet, config.deployment(),
                 servers, new Buffers(caps.buffers()), clock, deadlines, counters, workers, ready,
-                new Clients(caps.clients(), clock, deadlines)));
+                clients));
     }
 
     /** Accepts clients until {@link #stopAccepting}; what comes before it is warm waits in the kernel. */
@@ -38,15 +41,27 @@
         } catch (ProtocolException | RuntimeException e) {
             Log.error("the rehearsal failed; the first requests will be slow", e);
         }
+        serving = true;
         listener.run();
     }
 
+    /** Whether clients are taken in. */
+    public boolean isServing() {
+        return serving;
+    }
+
+    /** Sends clients away, each as soon as nothing is owed to it, or takes them in again. */
+    public void sendAway(boolean yes) {
+        clients.away(yes);
+    }
+
     /** The program ends after this: from now on nothing is taken that may need longer. */
     public void endAfter(long afterNs) {
         listener.endAfter(afterNs);
     }
 
     public void stopAccepting() throws IOException {
+        serving = false;
         listener.stopAccepting();
     }
 
--- a/src/test/java/holdmux/core/BalancerTest.java
+++ b/src/test/java/holdmux/core/BalancerTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -155,4 +156,28 @@
         assertEquals(1_000 * Clock.MS, line.startedAt());
         assertTrue(fleet.hasGroup(2) && !fleet.hasGroup(3));
     }
+
+    /** News of discovery must not undo an exclusion; who is put back was restarted meanwhile and is cold. */
+    @Test
+    void aServerLeftOutDrainsWhateverTheListSays() {
+        Listing out = fleet.leaveOut(Map.of("s-1", 10L), 20).lines().get(0);
+        assertEquals(Availability.DRAINING, out.availability());
+        HostList news = list(true, host("s-1", true, Availability.READY), host("s-2", false, Availability.READY));
+        assertEquals(Availability.DRAINING, fleet.take(news, false).lines().get(0).availability());
+        assertEquals(List.of(), fleet.leaveOut(Map.of("s-1", 10L), 25).lines(), "the same order again changes nothing");
+        Listing back = fleet.leaveOut(Map.of(), 30).lines().get(0);
+        assertEquals(Availability.READY, back.availability());
+        assertEquals(30 * Clock.MS, back.startedAt());
+        assertTrue(fleet.lists("s-1") && !fleet.lists("s-9"));
+    }
+
+    @Test
+    void nothingIsSentToAServerLeftOut() {
+        balancer.leaveOut(Map.of("s-2", 10L));
+        for (int i = 0; i < 20; i++) {
+            Script script = play(READ, Outcome.OK);
+            assertEquals(List.of(fleet.take(list(false, host("s-1", true, Availability.READY)), false).lines().get(0).store()),
+                    script.sentTo);
+        }
+    }
 }
--- a/src/test/java/holdmux/pg/PoolerTest.java
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -381,4 +381,34 @@
         }
         assertFalse(queries.isEmpty());
     }
+
+    /** Sent away, clients find readiness denied, and no connection rests here; going back to work undoes all of it. */
+    @Test
+    void clientsAreSentAwayAndTakenInAgain() throws Exception {
+        try (Socket idle = client(); Socket busy = client(); Socket kept = client()) {
+            for (Socket client : List.of(idle, busy, kept)) {
+                send(client, m -> {
+                    startup(m);
+                    query(m, "");
+                });
+                assertEquals("hello IZ", types(client, 2));
+            }
+            front.sendAway(true);
+            assertEquals("hello E57P03Z", ask(""), "at once");
+            front.sendAway(false);
+            assertEquals("hello IZ", ask(""));
+            Thread.sleep(600);
+            send(kept, m -> query(m, ""));
+            assertEquals("IZ", types(kept, 1), "nobody was sent away meanwhile");
+            Consumer<Message> answer = script;
+            script = m -> {
+                pause(900);
+                answer.accept(m);
+            };
+            send(busy, m -> query(m, WRITE));
+            front.sendAway(true);
+            assertEquals("|", types(idle, 1));
+            assertEquals("TDCZ|", types(busy, 2), "what was taken is answered first");
+        }
+    }
 }
