--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -68,8 +68,7 @@
         Counters counters = new Counters();
         Workers workers = new Workers(config.caps().workers());
         Fleet fleet = new Fleet(config.deployment().zones(), config.deployment().kinds());
-        Balancer balancer = new Balancer(config.deployment().settings(), config.seed(),
-                config.deployment().connectTimeoutNs(), clock, deadlines, counters, fleet, workers);
+        Balancer balancer = new Balancer(config.deployment(), config.seed(), clock, deadlines, counters, fleet, workers);
         CountDownLatch ready = new CountDownLatch(1);
         PgFront front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
         balancer.listChanged(config.known(), true);
@@ -80,9 +79,9 @@
             ready.countDown();
         });
         Workers.thread("discovery", watch).start();
-        Workers.thread("reload", () -> reload(hangUps, config, watch, counters)).start();
+        Workers.thread("reload", () -> reload(hangUps, config, balancer, watch, counters)).start();
         reportLater(deadlines, counters);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, config, counters), "drain"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, balancer, counters), "drain"));
         String folder = System.getenv("TMPDIR");
         Operations operations = new Operations(new StateFile(folder == null ? null : Path.of(folder)), fleet::lists,
                 () -> ready.getCount() == 0 && front.isServing(), orders -> {
@@ -97,18 +96,22 @@
     }
 
     /** SIGHUP: takes up the configuration anew, time and again; one that cannot be used leaves the old in force. */
-    private static void reload(Semaphore hangUps, Config config, Watch watch, Counters counters) {
+    private static void reload(Semaphore hangUps, Config first, Balancer balancer, Watch watch, Counters counters) {
+        Config config = first;
         while (true) {
             hangUps.acquireUninterruptibly();
             hangUps.drainPermits();
             try {
                 Config next = config.reload(System.getenv());
+                balancer.retune(next.deployment());
                 watch.moveTo(next.discovery());
                 counters.count(Counter.RELOADS);
-                Log.info("configuration taken up anew; discovery is at " + next.discovery());
-                if (config.needsRestartFor(next)) {
-                    Log.warn("the new configuration changes more than discovery; the rest needs a restart");
+                Log.info("configuration taken up anew; discovery is at " + next.discovery() + ", classes "
+                        + next.deployment().classes());
+                if (first.needsRestartFor(next)) {
+                    Log.warn("the new configuration has other addresses or limits; those need a restart");
                 }
+                config = next;
             } catch (IOException | RuntimeException e) {
                 counters.count(Counter.RELOADS_REFUSED);
                 Log.warn("the new configuration cannot be used, the old one stays: " + e.getMessage());
@@ -127,10 +130,10 @@
      * SIGTERM: goes on accepting for a while and serving the connections there are for as long as it may live, since
      * their clients would find no other pooler sooner; takes nothing that it could not answer by then.
      */
-    private static void drain(PgFront front, Config config, Counters counters) {
+    private static void drain(PgFront front, Balancer balancer, Counters counters) {
         try {
             Log.info("draining");
-            long longest = config.deployment().settings().classes().stream()
+            long longest = balancer.deployment().settings().classes().stream()
                     .mapToLong(RequestClass::deadlineNs).max().orElse(0) / Clock.MS;
             long end = KILL_MS + Math.min(LONGEST_MS, longest) - EXIT_MS;
             long start = System.nanoTime();
--- a/src/main/java/holdmux/config/Config.java
+++ b/src/main/java/holdmux/config/Config.java
@@ -5,15 +5,17 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import org.json.JSONException;
 import org.json.JSONObject;
 
 /**
  * All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits, {@code management} is
- * null where the operators have no address of their own.
+ * null where the operators have no address of their own, {@code keys} are all that the file told.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress management,
-        long seed, int memoryMb, int sockets, HostList known, Deployment deployment) {
+        long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys) {
     /** A fleet of twenty servers and its settings take 10 KiB; this is room for thousands. */
     private static final long MOST_BYTES = 1 << 20;
 
@@ -27,17 +29,26 @@
      * things were at the start; positions go on counting from where they did.
      */
     public Config reload(Map<String, String> env) throws IOException {
-        return decode(text(env), env, deployment.settings().zeroNs(), true);
+        Config next = decode(text(env), env, deployment.settings().zeroNs(), true);
+        for (String key : keys) {
+            if (!next.keys.contains(key)) {
+                throw new ConfigException("configuration: " + key + " is missing");
+            }
+        }
+        if (!next.deployment.reportFields().equals(deployment.reportFields())) {
+            throw new ConfigException("configuration: report.fields can only change by a restart");
+        }
+        return next;
     }
 
     public Caps caps() {
         return Caps.of(sockets, memoryMb);
     }
 
-    /** What the program took up at its start and can only change by a restart. */
+    /** Addresses and limits, which the program takes up at its start. */
     public boolean needsRestartFor(Config next) {
         return !(next.listen.equals(listen) && next.memoryMb == memoryMb && next.sockets == sockets
-                && next.deployment.equals(deployment));
+                && Objects.equals(next.management, management));
     }
 
     private static String text(Map<String, String> env) throws IOException {
@@ -59,13 +70,15 @@
             settings.put("family-info.zero-ns", String.valueOf(zeroNs));
             String management = named(all, "management", env, "BALANCER_MANAGEMENT", fileFirst);
             JSONObject limits = all.getJSONObject("limits");
+            Set<String> keys = Flattener.keys(all);
+            keys.removeIf(key -> key.startsWith("known.")); // hosts come and go
             return new Config(named(all, "name", env, "BALANCER_NAME", fileFirst),
                     address(named(all, "listen", env, "BALANCER_LISTEN", fileFirst)),
                     address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)),
                     management.isEmpty() ? null : address(management),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
                     limits.getInt("sockets"), HostList.decode(all.getJSONObject("known")),
-                    new SettingsReader(settings).deployment());
+                    new SettingsReader(settings).deployment(), Set.copyOf(keys));
         } catch (JSONException | NumberFormatException e) {
             throw new ConfigException("configuration: " + e.getMessage());
         }
--- a/src/main/java/holdmux/config/Flattener.java
+++ b/src/main/java/holdmux/config/Flattener.java
@@ -1,8 +1,10 @@
 package holdmux.config;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.json.JSONArray;
 import org.json.JSONObject;
@@ -23,6 +25,23 @@
         return flattener.values;
     }
 
+    /** The paths of all values, with {@code *} for the places of a list; of a list's items those that all have. */
+    static Set<String> keys(JSONObject object) {
+        Set<String> keys = new HashSet<>();
+        for (String key : object.keySet()) {
+            Object value = object.get(key);
+            keys.add(key);
+            if (value instanceof JSONObject nested) {
+                keys(nested).forEach(inner -> keys.add(key + "." + inner));
+            } else if (value instanceof JSONArray list && !list.isEmpty() && list.get(0) instanceof JSONObject first) {
+                Set<String> common = keys(first);
+                list.forEach(item -> common.retainAll(item instanceof JSONObject o ? keys(o) : Set.of()));
+                common.forEach(inner -> keys.add(key + ".*." + inner));
+            }
+        }
+        return keys;
+    }
+
     private void object(String prefix, JSONObject object) {
         for (String key : object.keySet()) {
             value(prefix + key, object.get(key));
--- a/src/main/java/holdmux/core/Balancer.java
+++ b/src/main/java/holdmux/core/Balancer.java
@@ -1,5 +1,6 @@
 package holdmux.core;
 
+import holdmux.config.Deployment;
 import holdmux.config.HostList;
 import holdmux.core.Counters.Counter;
 import holdmux.decision.ReadWriteSplitter;
@@ -18,8 +19,8 @@
 import holdmux.decision.SplitterApi.Remark;
 import holdmux.decision.SplitterApi.RespondError;
 import holdmux.decision.SplitterApi.Retract;
+import holdmux.decision.SplitterApi.Retuned;
 import holdmux.decision.SplitterApi.Schedule;
-import holdmux.decision.SplitterApi.Settings;
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
 import java.io.IOException;
@@ -43,22 +44,21 @@
     private final Executor workers;
     private final ReentrantLock lock = new ReentrantLock();
     private final ReadWriteSplitter module;
-    private final long probeLimitNs;
+    private volatile Deployment deployment;
     private final Map<Long, Request> open = new HashMap<>();
     private Prober prober;
     private LongConsumer closeIdle;
     private long lastId;
 
-    /** {@code probeLimitNs}: how long a probe may take. */
-    public Balancer(Settings settings, long seed, long probeLimitNs, Clock clock, Deadlines deadlines,
+    public Balancer(Deployment deployment, long seed, Clock clock, Deadlines deadlines,
             Counters counters, Fleet fleet, Executor workers) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         this.fleet = fleet;
         this.workers = workers;
-        this.probeLimitNs = probeLimitNs;
-        module = new ReadWriteSplitter(settings, seed);
+        this.deployment = deployment;
+        module = new ReadWriteSplitter(deployment.settings(), seed);
     }
 
     /** Names those who carry out probes and idle closes; before the first list. */
@@ -77,6 +77,23 @@
         }
     }
 
+    /** What is in force for requests that come now. */
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    /** Puts another deployment's settings in force; requests that are open keep what they came under. */
+    public void retune(Deployment next) {
+        lock.lock();
+        try {
+            List<Integer> was = next.classes().stream().map(deployment.classes()::indexOf).toList();
+            feed(new Retuned(next.settings(), was));
+            deployment = next;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Leaves out just these servers, named with the Unix time in milliseconds since when, from now on. */
     public void leaveOut(Map<String, Long> servers) {
         lock.lock();
@@ -155,7 +172,13 @@
             }
             long now = clock.now();
             long token = call.tokenPositionNs() == 0 ? 0 : Math.max(1, now - call.tokenPositionNs());
-            feed(new Arrived(request.id, call.classIndex(), call.retry(), call.remainingNs(), token, 0,
+            // by name and under the lock, so that no number crosses a change of settings
+            int index = deployment.classes().indexOf(call.className());
+            if (index < 0 || deployment.settings().classes().get(index).consistency() != call.consistency()) {
+                end(request.id, new Decline(request.id, 0)); // its class went while it came in
+                return;
+            }
+            feed(new Arrived(request.id, index, call.retry(), call.remainingNs(), token, 0,
                     call.session(), 0, call.group()));
         } finally {
             lock.unlock();
@@ -288,7 +311,7 @@
 
     private void inspect(long store) {
         counters.count(Counter.PROBES);
-        Attempt attempt = new Attempt(store, 0, clock.now(), probeLimitNs);
+        Attempt attempt = new Attempt(store, 0, clock.now(), deployment.connectTimeoutNs());
         try {
             workers.execute(() -> probe(attempt));
         } catch (RejectedExecutionException e) {
--- a/src/main/java/holdmux/core/Request.java
+++ b/src/main/java/holdmux/core/Request.java
@@ -1,6 +1,7 @@
 package holdmux.core;
 
 import holdmux.decision.SplitterApi.Action;
+import holdmux.decision.SplitterApi.Consistency;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -9,7 +10,7 @@
 /** One client request as the core sees it; {@link Balancer#life} is its life. */
 public final class Request {
     /** What the front end read of it; {@code tokenPositionNs} is 0 where the client carries none. */
-    public record Call(int classIndex, boolean retry, long remainingNs, long tokenPositionNs, long session,
+    public record Call(String className, Consistency consistency, boolean retry, long remainingNs, long tokenPositionNs, long session,
             int group) {}
 
     /** What the life of the request must do next. */
--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -157,8 +157,10 @@
 
     private static final class Open {
         final long id;
+        /** What the request came under: these hold until its end, whatever is told meanwhile. */
         final RequestClass type;
-        final int classIndex;
+        final Limits limits;
+        final Pace pace;
         final Group group;
         final long session, arrived, deadline, giveUpAt, holdUntil, tokenPosition;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -168,10 +170,11 @@
         boolean done, held, accused, reached;
         Store avoid, erred;
 
-        Open(Arrived a, RequestClass type, Group group, long now, long slack) {
+        Open(Arrived a, RequestClass type, Limits limits, Pace pace, Group group, long now, long slack) {
             id = a.id();
             this.type = type;
-            classIndex = a.classIndex();
+            this.limits = limits;
+            this.pace = pace;
             this.group = group;
             session = a.session();
             arrived = now;
@@ -188,19 +191,23 @@
         }
     }
 
+    /** How long a class takes in quiet times, and from how many answers that is known. */
+    private static final class Pace {
+        double base;
+        int samples;
+    }
+
     private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
 
-    private final Settings settings;
-    private final Rules rules;
-    private final Limits limits;
-    private final boolean checks;
+    private Settings settings;
+    private Rules rules;
+    private Limits limits;
+    private boolean checks;
     private final SplittableRandom random;
     private final Map<Long, Store> stores = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Open> opens = new LinkedHashMap<>();
-    /** How long each class takes in quiet times, and from how many answers that is known. */
-    private final double[] base;
-    private final int[] samples;
+    private List<Pace> paces = List.of();
     private double probeTokens = PROBE_BURST;
     /** Work in hand at all stores together for this front, averaged; the peak of late for each store. */
     private double carry, peak;
@@ -215,16 +222,21 @@
     /** Groups that something happened to in this batch: only their held requests are looked at. */
     private final Set<Group> touched = new LinkedHashSet<>();
     private Consumer<Action> sink;
-    private final long tightestBound;
+    private long tightestBound;
     /** Times that follow the settings, since work and aims differ between deployments. */
-    private final long tick, silentLeast, restFirst, queueTime;
+    private long tick, silentLeast, restFirst, queueTime;
 
     public ReadWriteSplitter(Settings settings, long seed) {
+        random = new SplittableRandom(seed);
+        adopt(settings, Collections.nCopies(settings.classes().size(), -1));
+    }
+
+    /** Takes up settings; {@code was} tells where each class stood in those before, -1 for a new one. */
+    private void adopt(Settings settings, List<Integer> was) {
         this.settings = settings;
         rules = settings.rules();
         limits = settings.limits();
         checks = settings.guards() != Guards.OFF;
-        random = new SplittableRandom(seed);
         tightestBound = settings.classes().stream().mapToLong(RequestClass::boundNs).filter(b -> b > 0)
                 .min().orElse(Long.MAX_VALUE);
         tick = TICK_STEPS * settings.stepNs();
@@ -232,11 +244,13 @@
         silentLeast = (long) (SILENT_AIMS * aim);
         restFirst = (long) (REST_AIMS * aim);
         queueTime = (long) (QUEUE_AIMS * aim);
-        base = new double[settings.classes().size()];
-        samples = new int[base.length];
-        for (int i = 0; i < base.length; i++) {
-            base[i] = settings.classes().get(i).onTimeNs() / 5.0;
+        List<Pace> next = new ArrayList<>();
+        for (int i = 0; i < was.size(); i++) {
+            next.add(was.get(i) < 0 ? new Pace() : paces.get(was.get(i)));
+            double guess = settings.classes().get(i).onTimeNs() / 5.0;
+            next.get(i).base = was.get(i) < 0 ? guess : Math.min(next.get(i).base, guess * 5 * BASE_MOST);
         }
+        paces = next;
     }
 
     /** Takes all events of one batch, in order, and gives out the actions that answer them. */
@@ -264,6 +278,8 @@
                 close(opens.get(e.id()));
             } else if (event instanceof ListChanged e) {
                 listChanged(e);
+            } else if (event instanceof Retuned e) {
+                adopt(e.settings(), e.was());
             }
         }
         if (due) {
@@ -288,7 +304,7 @@
         probeTokens = Math.min(PROBE_BURST, probeTokens + PROBES_PER_REQUEST);
         Group group = groups.computeIfAbsent(e.group(), g -> new Group());
         RequestClass type = settings.classes().get(e.classIndex());
-        Open o = new Open(e, type, group, now, settings.stepNs() + MS);
+        Open o = new Open(e, type, limits, paces.get(e.classIndex()), group, now, settings.stepNs() + MS);
         opens.put(o.id, o);
         probe(group);
         touched.add(group);
@@ -340,7 +356,7 @@
      * stop the log there, and the others must keep applying it. Costs balance where long reads do not block.
      */
     private Store longReadStore(Open o) {
-        boolean isLong = o.type.consistency() == Consistency.ANY && base[o.classIndex] > tightestBound / 2.0;
+        boolean isLong = o.type.consistency() == Consistency.ANY && o.pace.base > tightestBound / 2.0;
         Store chosen = null;
         for (Store s : isLong ? o.group.members : List.<Store>of()) {
             boolean fit = s != o.avoid && s != o.group.leader && usable(s, o);
@@ -387,7 +403,7 @@
         double total = 0;
         for (Store s : o.group.members) {
             if (s != o.avoid && fits(s, o, needed) && usable(s, o)) {
-                double burden = (s.outWork + base[o.classIndex]) * s.ratio;
+                double burden = (s.outWork + o.pace.base) * s.ratio;
                 double weight = (s.ill ? ILL_WEIGHT : 1) * coldPart(s) / (burden * burden * burden);
                 total += weight;
                 if (random.nextDouble() * total < weight) {
@@ -439,14 +455,14 @@
 
     /** The only way out to a store: checks the rules, then starts an attempt. */
     private boolean send(Open o, Store s) {
-        boolean alone = o.inFlight == 0 || limits.duplicates() && o.safe();
+        boolean alone = o.inFlight == 0 || o.limits.duplicates() && o.safe();
         boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
         if (o.done || s.group != o.group || !s.listed() || !repeatable(o) || !alone || !fresh
-                || !coldRoom(s, base[o.classIndex])) {
+                || !coldRoom(s, o.pace.base)) {
             return false;
         }
-        s.coldLevel += base[o.classIndex];
-        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, base[o.classIndex]);
+        s.coldLevel += o.pace.base;
+        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base);
         o.attempts.add(attempt);
         o.inFlight++;
         s.out++;
@@ -461,10 +477,10 @@
 
     private long limit(Open o, Store s) {
         long left = o.deadline - now;
-        if (!o.safe() || o.attempts.size() >= limits.maxAttempts()) {
+        if (!o.safe() || o.attempts.size() >= o.limits.maxAttempts()) {
             return left;
         }
-        double patience = PATIENCE * expected(s, o.classIndex);
+        double patience = PATIENCE * expected(s, o.pace);
         return Math.min(left, (long) Math.max(patience, USEFUL_PART * (o.giveUpAt - now)));
     }
 
@@ -477,7 +493,7 @@
         boolean refusable = o.safe() || !mayHaveRun
                 || o.type.effect() == Effect.DEDUPLICATED && o.type.scope() == Scope.ALL;
         sink.accept(refusable
-                ? new Decline(o.id, limits.retryAfter() ? limits.maxRetryAfterNs() : 0)
+                ? new Decline(o.id, o.limits.retryAfter() ? o.limits.maxRetryAfterNs() : 0)
                 : new RespondError(o.id));
         close(o);
     }
@@ -494,7 +510,7 @@
     }
 
     private void retract(Open o, int i) {
-        if (!o.ended.get(i) && !o.retracted.get(i) && limits.cancel()) {
+        if (!o.ended.get(i) && !o.retracted.get(i) && o.limits.cancel()) {
             o.retracted.set(i);
             sink.accept(new Retract(o.id, i));
         }
@@ -525,7 +541,7 @@
     /** Work for each unit of worth. */
     private double cost(Open o) {
         double part = now < o.arrived + o.type.onTimeNs() ? 1 : o.type.lateWorth();
-        return base[o.classIndex] / (o.type.worth() * part);
+        return o.pace.base / (o.type.worth() * part);
     }
 
     private void releaseHeld(Group group) {
@@ -548,7 +564,7 @@
         }
         for (Open o : all) {
             boolean hopeless = o.held && o.inFlight == 0
-                    && (now + base[o.classIndex] / 2 > o.giveUpAt || !repeatable(o)
+                    && (now + o.pace.base / 2 > o.giveUpAt || !repeatable(o)
                     || !o.reached && now + tick >= o.holdUntil); // the next look would be too late
             if (now >= o.giveUpAt || hopeless) {
                 finish(o);
@@ -571,7 +587,7 @@
             case DEDUPLICATED -> now < o.mayHaveRunAt + o.type.windowNs() - WINDOW_MARGIN_NS;
             case AT_MOST_ONCE -> false;
         };
-        return mayRepeat && o.attempts.size() < limits.maxAttempts();
+        return mayRepeat && o.attempts.size() < o.limits.maxAttempts();
     }
 
     /** Takes repeatable work back from a store that has gone silent; what was sent since is its trial. */
@@ -685,7 +701,7 @@
             case OK -> {
                 answeredWell(s);
                 if (a.sentAt > stalledAt) {
-                    pace(s, o.classIndex, e.latencyNs(), a.outAtSend);
+                    pace(s, o, e.latencyNs(), a.outAtSend);
                 }
                 s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
@@ -701,7 +717,7 @@
             }
             case TIMEOUT -> {
                 if (a.sentAt > stalledAt) {
-                    s.ratio += FOLLOW * Math.max(0, e.latencyNs() / base[o.classIndex] - s.ratio);
+                    s.ratio += FOLLOW * Math.max(0, e.latencyNs() / o.pace.base - s.ratio);
                 }
                 if (s.answeredAt < a.sentAt && a.sentAt > stalledAt) {
                     suspect(s);
@@ -754,17 +770,18 @@
     }
 
     /** Learns how long a class takes in quiet times, and how much longer this store takes now. */
-    private void pace(Store s, int classIndex, long latency, int outAtSend) {
-        s.ratio += FOLLOW * (latency / base[classIndex] - s.ratio);
+    private void pace(Store s, Open o, long latency, int outAtSend) {
+        Pace p = o.pace;
+        s.ratio += FOLLOW * (latency / p.base - s.ratio);
         s.load += FOLLOW * (outAtSend - s.load);
         // chosen by load at the send, never by the outcome: lucky answers alone would drag the figure down
         if (outAtSend <= FREE_SLOTS && s.queue < 1) {
-            base[classIndex] += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++samples[classIndex]))
-                    * (latency - base[classIndex]);
-            double most = BASE_MOST * settings.classes().get(classIndex).onTimeNs();
-            base[classIndex] = Math.min(base[classIndex], most);
+            p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples))
+                    * (latency - p.base);
+            double most = BASE_MOST * o.type.onTimeNs();
+            p.base = Math.min(p.base, most);
         }
-        carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + base[classIndex] / CARRY_NS;
+        carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + p.base / CARRY_NS;
         peak = Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), carry / Math.max(1, ready));
         carryAt = now;
     }
@@ -774,8 +791,8 @@
         return s.queue == 0 ? 0 : s.queue * Math.exp(-(now - s.queueAt) / (double) queueTime);
     }
 
-    private double expected(Store s, int classIndex) {
-        return base[classIndex] * Math.max(1, s.ratio * (s.out + 1) / Math.max(FREE_SLOTS, s.load));
+    private double expected(Store s, Pace pace) {
+        return pace.base * Math.max(1, s.ratio * (s.out + 1) / Math.max(FREE_SLOTS, s.load));
     }
 
     /**
@@ -783,7 +800,7 @@
      * late, from overload, slow machines or other fronts; refuses too much where answer times scatter widely.
      */
     private boolean usable(Store s, Open o) {
-        if (!s.listed() || !s.proven || !coldRoom(s, base[o.classIndex])) {
+        if (!s.listed() || !s.proven || !coldRoom(s, o.pace.base)) {
             return false;
         }
         if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no use, whatever the others do
@@ -794,9 +811,9 @@
         long left = Math.min(now < aim ? aim - now : o.type.onTimeNs(), o.giveUpAt - now);
         double queue = queue(s);
         boolean free = s.out == 0 || queue < 1 && s.out < 2 * FREE_SLOTS;
-        double b = base[o.classIndex];
+        double b = o.pace.base;
         double wait = queue * b / CORES;
-        return free ? wait + b <= left : wait + expected(s, o.classIndex) <= FIT_IN * left;
+        return free ? wait + b <= left : wait + expected(s, o.pace) <= FIT_IN * left;
     }
 
     /** Most of a group looks ill: the load or this front is to blame, and ejecting would only add to it. */
--- a/src/main/java/holdmux/decision/SplitterApi.java
+++ b/src/main/java/holdmux/decision/SplitterApi.java
@@ -67,7 +67,7 @@
 
     /** Something that happened to this front. */
     public sealed interface Event permits ListChanged, Arrived, Answered, Checked, Wakeup, ClientLeft,
-            Started, PeerMessage {}
+            Started, PeerMessage, Retuned {}
 
     /** The list, or changes to it; empty where a call failed. */
     public record ListChanged(ListMode mode, long generation, List<Listing> lines) implements Event {}
@@ -92,6 +92,9 @@
     /** A streamed answer has begun. */
     public record Started(long id, long store, int attempt) implements Event {}
 
+    /** Other settings; {@code was} tells where each class stood in those before, -1 for a new one. */
+    public record Retuned(Settings settings, List<Integer> was) implements Event {}
+
     /** A message from another front. */
     public record PeerMessage(int from, byte[] body) implements Event {}
 
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -34,7 +34,7 @@
  */
 final class ClientSession implements Runnable {
     /** What all sessions share. */
-    record Context(Balancer balancer, Fleet fleet, Deployment deployment, ServerPool servers, Buffers buffers,
+    record Context(Balancer balancer, Fleet fleet, ServerPool servers, Buffers buffers,
             Clock clock, Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
             Clients clients) {}
 
@@ -406,19 +406,20 @@
     }
 
     private Request.Call call(Statement statement) throws ProtocolException {
-        int index = context.deployment().classes().indexOf(statement.className);
+        Deployment deployment = context.balancer().deployment();
+        int index = deployment.classes().indexOf(statement.className);
         if (index < 0) {
             throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "unknown class");
         }
         if (!context.fleet().hasGroup(statement.group)) {
             throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "unknown group " + statement.group);
         }
-        RequestClass type = context.deployment().settings().classes().get(index);
+        RequestClass type = deployment.settings().classes().get(index);
         if (statement.write != (type.consistency() == Consistency.WRITE)) {
             throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "the class does not go with the statement");
         }
         boolean session = statement.write || type.consistency() == Consistency.SESSION;
-        return new Request.Call(index, statement.retry, Math.max(1, Math.min(waitNs(statement), context.clients().timeLeft())),
+        return new Request.Call(statement.className, type.consistency(), statement.retry, Math.max(1, Math.min(waitNs(statement), context.clients().timeLeft())),
                 statement.afterMs * Clock.MS, session ? statement.session() : 0, statement.group);
     }
 
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -26,10 +26,10 @@
         Caps caps = config.caps();
         deployment = config.deployment();
         ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
-                config.deployment(), caps.servers());
+                balancer::deployment, caps.servers());
         balancer.connect(servers, servers::closeAllIdle);
         clients = new Clients(caps.clients(), clock, deadlines);
-        listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet, config.deployment(),
+        listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet,
                 servers, new Buffers(caps.buffers()), clock, deadlines, counters, workers, ready,
                 clients));
     }
--- a/src/main/java/holdmux/pg/ServerPool.java
+++ b/src/main/java/holdmux/pg/ServerPool.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /** Connections to servers, kept while idle and used again, the latest first; carries out attempts and probes. */
 final class ServerPool implements Prober {
@@ -32,7 +33,7 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final Buffers buffers;
-    private final Deployment deployment;
+    private final Supplier<Deployment> deployment;
     private final Answer.Form form;
     private final int most;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
@@ -40,14 +41,14 @@
 
     /** {@code most}: connections at once. */
     ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
-            Deployment deployment, int most) {
+            Supplier<Deployment> deployment, int most) {
         this.fleet = fleet;
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         this.buffers = buffers;
         this.deployment = deployment;
-        form = new Answer.Form(deployment.reportFields(), deployment.settings().zeroNs());
+        form = new Answer.Form(deployment.get().reportFields(), deployment.get().settings().zeroNs());
         this.most = most;
     }
 
@@ -96,7 +97,7 @@
         if (!attempt.carriedBy(connection)) {
             throw new IOException("cut off before it was sent");
         }
-        Deadline timeOut = deadlines.after(deployment.connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
+        Deadline timeOut = deadlines.after(deployment.get().connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
         try {
             connection.connect();
             connection.send(message -> message.beginUntyped().put(Message.PROTOCOL_3).put("user").put("holdmux")
@@ -184,7 +185,7 @@
         }
         synchronized (this) {
             Deque<Idle> of = idle.computeIfAbsent(connection.store, s -> new ArrayDeque<>());
-            long closeAt = clock.now() + deployment.connIdleNs() / IDLE_PART;
+            long closeAt = clock.now() + deployment.get().connIdleNs() / IDLE_PART;
             of.addLast(new Idle(connection, deadlines.at(closeAt, () -> closeIdle(connection))));
         }
     }
--- a/src/test/java/holdmux/config/ConfigTest.java
+++ b/src/test/java/holdmux/config/ConfigTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -65,6 +66,34 @@
         assertThrows(ConfigException.class, () -> config.reload(env));
     }
 
+    /** A file with any key missing is broken: a default in its place would change what nobody ordered. */
+    @Test
+    void aReloadMustNameAllThatWasNamed(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("config.json");
+        Map<String, String> env = Map.of("BALANCER_CONFIG", file.toString());
+        Files.writeString(file, sample());
+        Config config = Config.load(env, 77);
+        for (String gone : List.of("\"late-worth\":0.0,", "\"discovery\":\"127.0.0.1:8500\",", "\"cancel\":true,",
+                "\"overload-factor\":2.0,", "\"tenants\":[],", "\"cores\":1.0,")) {
+            assertTrue(sample().contains(gone), gone);
+            Files.writeString(file, sample().replace(gone, ""));
+            assertThrows(ConfigException.class, () -> config.reload(env), gone);
+        }
+        for (String broken : List.of("\"max-attempts\":0", "\"max-attempts\":-1")) {
+            Files.writeString(file, sample().replace("\"max-attempts\":6", broken));
+            assertThrows(ConfigException.class, () -> config.reload(env), broken);
+        }
+        Files.writeString(file, sample().replace("\"deadline-ns\":1000000000", "\"deadline-ns\":0"));
+        assertThrows(ConfigException.class, () -> config.reload(env));
+        JSONObject fewer = new JSONObject(sample());
+        JSONObject settings = fewer.getJSONObject("settings");
+        settings.getJSONArray("request-classes").remove(0);
+        settings.getJSONObject("family-info").getJSONArray("consistency").remove(0);
+        settings.getJSONObject("family-info").getJSONArray("class-bound-ns").remove(0);
+        Files.writeString(file, fewer.toString());
+        assertEquals(List.of("save-quote"), config.reload(env).deployment().classes(), "a class may go");
+    }
+
     /** Caps follow the limits told, never one machine's figures, and leave descriptors and memory to spare. */
     @Test
     void capsFollowTheLimits() {
--- a/src/test/java/holdmux/core/BalancerTest.java
+++ b/src/test/java/holdmux/core/BalancerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdmux.config.Deployment;
 import holdmux.config.HostList;
 import holdmux.config.HostList.Host;
 import holdmux.core.Counters.Counter;
@@ -57,7 +58,7 @@
     private final Deadlines deadlines = new Deadlines(clock);
     private final Counters counters = new Counters();
     private final Fleet fleet = new Fleet(List.of("north"), List.of("std"));
-    private final Balancer balancer = new Balancer(settings(), 1, 250 * Clock.MS, clock, deadlines, counters, fleet,
+    private final Balancer balancer = new Balancer(deployment(settings(), "history", "save-quote"), 1, clock, deadlines, counters, fleet,
             work -> { });
 
     BalancerTest() {
@@ -66,6 +67,11 @@
                 true);
     }
 
+    private static Deployment deployment(Settings settings, String... classes) {
+        return new Deployment(settings, List.of(classes), List.of(), List.of(), List.of("x0"), 15_000 * Clock.MS,
+                250 * Clock.MS);
+    }
+
     private static Settings settings() {
         List<RequestClass> classes = List.of(
                 new RequestClass(Consistency.ANY, 0, 300 * Clock.MS, 1_000 * Clock.MS, 1, 0, Effect.IDEMPOTENT,
@@ -87,7 +93,8 @@
 
     private Script play(int classIndex, Outcome... outcomes) {
         Script script = new Script(outcomes);
-        Request.Call call = new Request.Call(classIndex, false, 900 * Clock.MS, 0, 7, 2);
+        Request.Call call = new Request.Call(classIndex == READ ? "history" : "save-quote",
+                classIndex == READ ? Consistency.ANY : Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2);
         balancer.life(balancer.taken(call), script);
         return script;
     }
@@ -118,14 +125,14 @@
                 throw new IllegalStateException("planted");
             }
         };
-        balancer.life(balancer.taken(new Request.Call(WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
+        balancer.life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
         assertEquals(List.of("failed"), script.told);
         assertEquals(List.of("served"), play(READ, Outcome.OK).told);
     }
 
     @Test
     void aClientThatLeftIsToldNothing() {
-        Request request = balancer.taken(new Request.Call(READ, false, 900 * Clock.MS, 0, 7, 2));
+        Request request = balancer.taken(new Request.Call("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
         balancer.left(request);
         Script script = new Script();
         balancer.life(request, script);
@@ -138,7 +145,7 @@
     void whatTheModuleGivesUpOnIsRefusedWithATime() {
         balancer.listChanged(list(true, host("s-2", false, Availability.DRAINING)), false);
         Script script = new Script();
-        Request request = balancer.taken(new Request.Call(READ, false, Clock.MS, 0, 7, 2));
+        Request request = balancer.taken(new Request.Call("history", Consistency.ANY, false, Clock.MS, 0, 7, 2));
         Thread sweeper = Workers.thread("sweeper", deadlines::run);
         sweeper.start();
         balancer.life(request, script);
@@ -180,4 +187,28 @@
                     script.sentTo);
         }
     }
+
+    /** New classes are served by their own rules once told; one that is dropped is refused, even as it comes in. */
+    @Test
+    void otherSettingsHoldForWhatComesLater() {
+        Settings old = settings();
+        RequestClass read = old.classes().get(READ);
+        RequestClass write = old.classes().get(WRITE);
+        RequestClass safe = new RequestClass(Consistency.WRITE, 0, write.onTimeNs(), write.deadlineNs(), 3, 0.5,
+                Effect.IDEMPOTENT, Scope.ALL, 0);
+        Request open = balancer.taken(new Request.Call("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
+        balancer.retune(deployment(with(old, List.of(safe, read)), "save-quote", "history-r2"));
+        Script dropped = new Script();
+        balancer.life(open, dropped);
+        assertEquals(List.of("refused 0"), dropped.told);
+        Script again = play(WRITE, Outcome.RESET, Outcome.OK);
+        assertEquals(List.of("served"), again.told);
+        assertEquals(2, again.sentTo.size(), "the class is safe to repeat now");
+    }
+
+    private static Settings with(Settings s, List<RequestClass> classes) {
+        return new Settings(s.me(), s.balancers(), s.zone(), s.stepNs(), classes, s.quotas(), s.overShareWorth(),
+                s.guards(), s.waitNs(), s.zeroNs(), s.remembered(), s.showsRole(), s.mustSubscribe(), s.rules(),
+                s.limits(), s.positionField(), s.primaryField(), s.queueField(), s.inflightField(), s.utilField());
+    }
 }
--- a/src/test/java/holdmux/decision/RulesTest.java
+++ b/src/test/java/holdmux/decision/RulesTest.java
@@ -147,4 +147,25 @@
             }
         }
     }
+
+    /** A request keeps its effect and its attempts though the settings change while it is out. */
+    @Test
+    void anOpenRequestKeepsTheSettingsItCameUnder() {
+        Settings old = Front.settings(Guards.OFF, true);
+        Front f = new Front(old, 1).listed();
+        f.at(0, f.probe(1, 0, true));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        assertNotEquals(0, Front.sentTo(f.at(1, Front.request(2, Front.ANY, 0))));
+        List<RequestClass> classes = new ArrayList<>(old.classes());
+        classes.set(Front.UNSAFE, Front.type(Consistency.WRITE, 0, Effect.IDEMPOTENT, 0.5));
+        Limits one = new Limits(1, true, true, false, true, 500 * MS, false);
+        Settings next = new Settings(0, 2, 0, 5 * MS, classes, List.of(), 1, old.guards(), 0, Front.ZERO, true, true,
+                false, old.rules(), one, 0, 1, 2, -1, -1);
+        f.at(1, new Retuned(next, List.of(0, 1, 2, 3, 4, 5)));
+        assertTrue(Front.failed(f.at(1, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0))), "it was not to be repeated");
+        long first = Front.sends(f.all).get(1).store();
+        assertNotEquals(0, Front.sentTo(f.at(1, f.answer(2, 0, first, Outcome.RESET, Role.UNKNOWN, 0))), "it had six attempts");
+        long store = Front.sentTo(f.at(1, Front.request(3, Front.ANY, 0)));
+        assertTrue(Front.refused(f.at(1, f.answer(3, 0, store, Outcome.RESET, Role.UNKNOWN, 0))), "now there is one");
+    }
 }
--- a/src/test/java/holdmux/pg/PoolerTest.java
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -72,7 +72,7 @@
         Deadlines deadlines = new Deadlines(clock);
         Workers workers = new Workers(20);
         Fleet fleet = new Fleet(List.of(), List.of());
-        Balancer balancer = new Balancer(config.deployment().settings(), 1, 250 * Clock.MS, clock, deadlines, counters,
+        Balancer balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
                 fleet, workers);
         front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
         balancer.listChanged(config.known(), true);
