--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -9,6 +9,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Log;
+import holdmux.core.Shared;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
@@ -17,10 +18,12 @@
 import holdmux.management.StateFile;
 import holdmux.pg.PgFront;
 import holdmux.simhost.SimHost;
+import holdmux.upgrade.Upgrade;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 
 /** Starts the pooler ({@code serve}) or the simulator's adapter ({@code simhost}). */
@@ -70,7 +73,8 @@
         Fleet fleet = new Fleet(config.deployment().zones(), config.deployment().kinds());
         Balancer balancer = new Balancer(config.deployment(), config.seed(), clock, deadlines, counters, fleet, workers);
         CountDownLatch ready = new CountDownLatch(1);
-        PgFront front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
+        Shared shared = new Shared();
+        PgFront front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, shared, ready);
         balancer.listChanged(config.known(), true);
         deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
         Workers.thread("deadlines", deadlines::run).start();
@@ -81,20 +85,47 @@
         Workers.thread("discovery", watch).start();
         Workers.thread("reload", () -> reload(hangUps, config, balancer, watch, counters)).start();
         reportLater(deadlines, counters);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, balancer, counters), "drain"));
-        String folder = System.getenv("TMPDIR");
-        Operations operations = new Operations(new StateFile(folder == null ? null : Path.of(folder)), fleet::lists,
+        Path folder = System.getenv("TMPDIR") == null ? null : Path.of(System.getenv("TMPDIR"));
+        AtomicReference<Upgrade> upgrade = new AtomicReference<>();
+        Operations operations = new Operations(new StateFile(folder), fleet::lists,
                 () -> ready.getCount() == 0 && front.isServing(), orders -> {
                     balancer.leaveOut(orders.excluded());
                     front.sendAway(orders.evacuated());
-                }, () -> { }, () -> clock.now() / Clock.MS);
+                }, () -> upgrade.get().ordersChanged(), () -> clock.now() / Clock.MS);
+        upgrade.set(new Upgrade(folder, new Upgrade.Local(balancer::writes, balancer::written, operations::refresh,
+                front::openClients, front::serverConnections), shared, deadlines, counters));
+        balancer.tellWritesTo(upgrade.get());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, balancer, upgrade.get(), counters), "drain"));
+        boolean takesOver = upgrade.get().join();
         if (config.management() != null) {
             Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
         }
+        start(front, takesOver ? upgrade.get() : null, ready);
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
+        upgrade.get().serves();
         front.run();
     }
 
+    /**
+     * A process that starts alone listens first, so that who comes waits; beside an older one, which serves meanwhile,
+     * it listens last. Null for no older one.
+     */
+    private static void start(PgFront front, Upgrade older, CountDownLatch ready) throws IOException {
+        if (older == null) {
+            front.listen();
+        }
+        front.warmUp();
+        if (older != null) {
+            try {
+                ready.await();
+                older.awaitTold();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            front.listen();
+        }
+    }
+
     /** SIGHUP: takes up the configuration anew, time and again; one that cannot be used leaves the old in force. */
     private static void reload(Semaphore hangUps, Config first, Balancer balancer, Watch watch, Counters counters) {
         Config config = first;
@@ -130,7 +161,7 @@
      * SIGTERM: goes on accepting for a while and serving the connections there are for as long as it may live, since
      * their clients would find no other pooler sooner; takes nothing that it could not answer by then.
      */
-    private static void drain(PgFront front, Balancer balancer, Counters counters) {
+    private static void drain(PgFront front, Balancer balancer, Upgrade upgrade, Counters counters) {
         try {
             Log.info("draining");
             long longest = balancer.deployment().settings().classes().stream()
@@ -138,7 +169,11 @@
             long end = KILL_MS + Math.min(LONGEST_MS, longest) - EXIT_MS;
             long start = System.nanoTime();
             front.endAfter(end * Clock.MS);
-            Thread.sleep(ACCEPT_MS);
+            if (upgrade.otherServes()) {
+                front.handOver();
+            } else {
+                Thread.sleep(ACCEPT_MS);
+            }
             front.stopAccepting();
             for (long past = 0; front.openClients() > 0 && past < end;
                     past = (System.nanoTime() - start) / Clock.MS) {
@@ -148,7 +183,7 @@
                 Thread.sleep(LOOK_MS);
             }
             Log.info("ends with " + front.openClients() + " clients; " + counters);
-        } catch (IOException | InterruptedException e) {
+        } catch (InterruptedException e) {
             Log.error("the drain was cut short", e);
         }
     }
--- a/src/main/java/holdmux/core/Balancer.java
+++ b/src/main/java/holdmux/core/Balancer.java
@@ -11,6 +11,7 @@
 import holdmux.decision.SplitterApi.Checked;
 import holdmux.decision.SplitterApi.ClientLeft;
 import holdmux.decision.SplitterApi.CloseIdle;
+import holdmux.decision.SplitterApi.Consistency;
 import holdmux.decision.SplitterApi.Decline;
 import holdmux.decision.SplitterApi.Event;
 import holdmux.decision.SplitterApi.Inspect;
@@ -23,6 +24,7 @@
 import holdmux.decision.SplitterApi.Schedule;
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
+import holdmux.decision.SplitterApi.Written;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
@@ -47,6 +49,7 @@
     private volatile Deployment deployment;
     private final Map<Long, Request> open = new HashMap<>();
     private Prober prober;
+    private WriteLog writeLog = write -> { };
     private LongConsumer closeIdle;
     private long lastId;
 
@@ -77,6 +80,31 @@
         }
     }
 
+    /** Names who hears of each write before its client sees the answer. */
+    public void tellWritesTo(WriteLog log) {
+        writeLog = log;
+    }
+
+    /** All sessions' writes that a second process of this pooler must know of. */
+    public List<Written> writes() {
+        lock.lock();
+        try {
+            return module.writes();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A write that another process of this pooler answered. */
+    public void written(Written write) {
+        lock.lock();
+        try {
+            feed(write);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** What is in force for requests that come now. */
     public Deployment deployment() {
         return deployment;
@@ -137,6 +165,7 @@
                     deadlines.cancel(timeOut);
                     answered(request, attempt, reply);
                     if (reply.outcome() == Outcome.OK) {
+                        tellWrite(request.call, reply);
                         counters.count(Counter.SERVED);
                         exchange.serve();
                         return;
@@ -197,6 +226,13 @@
         }
     }
 
+    private void tellWrite(Request.Call call, Reply reply) {
+        if (call.consistency() == Consistency.WRITE) {
+            long position = reply.positionNs() > 0 ? reply.positionNs() : clock.now();
+            writeLog.written(new Written(call.group(), call.session(), position));
+        }
+    }
+
     private static Counter outcomeCounter(Outcome outcome) {
         return Counter.valueOf("ATTEMPT_" + outcome.name());
     }
--- /dev/null
+++ b/src/main/java/holdmux/core/Shared.java
@@ -0,0 +1,24 @@
+package holdmux.core;
+
+/**
+ * What the other process of this pooler holds, while two overlap, of that which both may hold only together; nothing
+ * while there is no other.
+ */
+public final class Shared {
+    private volatile int clients, servers;
+
+    public void othersHold(int clients, int servers) {
+        this.clients = clients;
+        this.servers = servers;
+    }
+
+    /** Client connections held by the other process. */
+    public int clients() {
+        return clients;
+    }
+
+    /** Connections to servers held by the other process. */
+    public int servers() {
+        return servers;
+    }
+}
--- /dev/null
+++ b/src/main/java/holdmux/core/WriteLog.java
@@ -0,0 +1,8 @@
+package holdmux.core;
+
+import holdmux.decision.SplitterApi.Written;
+
+/** Hears of every write whose answer a client is about to see; returns once whoever must know of it does. */
+public interface WriteLog {
+    void written(Written write);
+}
--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -1,5 +1,4 @@
-// The interface of this module (settings, events, actions) is SplitterApi.java, beside this file.
-// The design, with what was kept and what was added, is docs/design.md.
+// The interface is SplitterApi.java, beside this file; the design is docs/design.md.
 package holdmux.decision;
 
 import holdmux.decision.SplitterApi.*;
@@ -195,13 +194,16 @@
     private static final class Pace {
         double base;
         int samples;
+
+        Pace(double base, int samples) {
+            this.base = base;
+            this.samples = samples;
+        }
     }
 
     private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
 
     private Settings settings;
-    private Rules rules;
-    private Limits limits;
     private boolean checks;
     private final SplittableRandom random;
     private final Map<Long, Store> stores = new LinkedHashMap<>();
@@ -234,8 +236,6 @@
     /** Takes up settings; {@code was} tells where each class stood in those before, -1 for a new one. */
     private void adopt(Settings settings, List<Integer> was) {
         this.settings = settings;
-        rules = settings.rules();
-        limits = settings.limits();
         checks = settings.guards() != Guards.OFF;
         tightestBound = settings.classes().stream().mapToLong(RequestClass::boundNs).filter(b -> b > 0)
                 .min().orElse(Long.MAX_VALUE);
@@ -245,10 +245,10 @@
         restFirst = (long) (REST_AIMS * aim);
         queueTime = (long) (QUEUE_AIMS * aim);
         List<Pace> next = new ArrayList<>();
-        for (int i = 0; i < was.size(); i++) {
-            next.add(was.get(i) < 0 ? new Pace() : paces.get(was.get(i)));
-            double guess = settings.classes().get(i).onTimeNs() / 5.0;
-            next.get(i).base = was.get(i) < 0 ? guess : Math.min(next.get(i).base, guess * 5 * BASE_MOST);
+        for (RequestClass type : settings.classes()) {
+            int before = was.get(next.size());
+            Pace old = before < 0 ? new Pace(type.onTimeNs() / 5.0, 0) : paces.get(before);
+            next.add(new Pace(Math.min(old.base, BASE_MOST * type.onTimeNs()), old.samples));
         }
         paces = next;
     }
@@ -278,6 +278,8 @@
                 close(opens.get(e.id()));
             } else if (event instanceof ListChanged e) {
                 listChanged(e);
+            } else if (event instanceof Written e) {
+                written(e);
             } else if (event instanceof Retuned e) {
                 adopt(e.settings(), e.was());
             }
@@ -304,7 +306,8 @@
         probeTokens = Math.min(PROBE_BURST, probeTokens + PROBES_PER_REQUEST);
         Group group = groups.computeIfAbsent(e.group(), g -> new Group());
         RequestClass type = settings.classes().get(e.classIndex());
-        Open o = new Open(e, type, limits, paces.get(e.classIndex()), group, now, settings.stepNs() + MS);
+        Pace pace = paces.get(e.classIndex());
+        Open o = new Open(e, type, settings.limits(), pace, group, now, settings.stepNs() + MS);
         opens.put(o.id, o);
         probe(group);
         touched.add(group);
@@ -451,6 +454,26 @@
         return session;
     }
 
+    /** All that a second process of this front must know to serve the sessions' reads. */
+    public List<Written> writes() {
+        List<Written> all = new ArrayList<>();
+        groups.forEach((id, g) -> {
+            all.add(new Written(id, 0, g.floor));
+            g.sessions.forEach((key, session) -> all.add(new Written(id, key, session.token)));
+        });
+        return all;
+    }
+
+    private void written(Written e) {
+        Group group = groups.computeIfAbsent(e.group(), g -> new Group());
+        if (e.session() == 0) {
+            group.floor = Math.max(group.floor, e.positionNs());
+        } else {
+            Session session = remember(group, e.session());
+            session.token = Math.max(session.token, e.positionNs());
+        }
+    }
+
     // ---- The two gates ----
 
     /** The only way out to a store: checks the rules, then starts an attempt. */
@@ -778,8 +801,7 @@
         if (outAtSend <= FREE_SLOTS && s.queue < 1) {
             p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples))
                     * (latency - p.base);
-            double most = BASE_MOST * o.type.onTimeNs();
-            p.base = Math.min(p.base, most);
+            p.base = Math.min(p.base, BASE_MOST * o.type.onTimeNs());
         }
         carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + p.base / CARRY_NS;
         peak = Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), carry / Math.max(1, ready));
@@ -804,7 +826,8 @@
             return false;
         }
         if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no use, whatever the others do
-            return s.out == 0 && s.nextTrial <= now && (s.probedWellAt >= s.illAt || !limits.probes());
+            boolean probed = s.probedWellAt >= s.illAt || !settings.limits().probes();
+            return s.out == 0 && s.nextTrial <= now && probed;
         }
         long aim = o.arrived + o.type.onTimeNs();
         // a late request takes what is left over: it must not build a queue that makes others late too
@@ -818,11 +841,7 @@
 
     /** Most of a group looks ill: the load or this front is to blame, and ejecting would only add to it. */
     private boolean panic(Group group) {
-        int illOverWell = 0;
-        for (Store s : group.members) {
-            illOverWell += !s.counts() ? 0 : s.ill ? 1 : -1;
-        }
-        return illOverWell > 0;
+        return group.members.stream().filter(Store::counts).mapToInt(s -> s.ill ? 1 : -1).sum() > 0;
     }
 
     // ---- Cold stores ----
@@ -830,10 +849,11 @@
     /** Part of its full capacity that a store has at least; 1 once it is warm. */
     private double coldPart(Store s) {
         long age = now - s.coldSince;
-        if (s.coldSince == 0 || age >= rules.rampNs()) {
+        if (s.coldSince == 0 || age >= settings.rules().rampNs()) {
             return 1;
         }
-        return rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.rampNs();
+        double least = settings.rules().coldShare();
+        return least + (1 - least) * Math.max(0, age) / settings.rules().rampNs();
     }
 
     /** Whether a store that may be cold can take so much more work now; always true of a warm one. */
@@ -842,12 +862,12 @@
         if (part >= 1) {
             return true;
         }
-        double rate = rules.overloadFactor() * part * usualCarry();
+        double rate = settings.rules().overloadFactor() * part * usualCarry();
         // a spell starts at a random point of one request's span: a hundred fronts must not all send at once
         double drained = s.coldLevel - COLD_STEADY * rate * (now - s.coldAt);
         s.coldLevel = s.coldAt < s.coldSince ? random.nextDouble() * work : Math.max(0, drained);
         s.coldAt = now;
-        return s.coldLevel == 0 || s.coldLevel + work <= COLD_BURST * rate * rules.fallNs();
+        return s.coldLevel == 0 || s.coldLevel + work <= COLD_BURST * rate * settings.rules().fallNs();
     }
 
     /**
@@ -893,7 +913,7 @@
     /** Probes a store if one is due and can be paid; whether its answer is under way or has just come. */
     private boolean inspect(Store s) {
         boolean due = s.listed() && !s.probing && now - s.probedAt >= PROBE_GAP_NS;
-        if (due && limits.probes() && probeTokens >= 1) {
+        if (due && settings.limits().probes() && probeTokens >= 1) {
             s.probing = true;
             s.probedAt = now;
             probeTokens--;
@@ -1004,7 +1024,7 @@
 
     private void gone(Store s) {
         s.listedGone = true;
-        if (rules.goneIsAdvice()) {
+        if (settings.rules().goneIsAdvice()) {
             return;
         }
         s.availability = Availability.GONE;
--- a/src/main/java/holdmux/decision/SplitterApi.java
+++ b/src/main/java/holdmux/decision/SplitterApi.java
@@ -67,7 +67,7 @@
 
     /** Something that happened to this front. */
     public sealed interface Event permits ListChanged, Arrived, Answered, Checked, Wakeup, ClientLeft,
-            Started, PeerMessage, Retuned {}
+            Started, PeerMessage, Retuned, Written {}
 
     /** The list, or changes to it; empty where a call failed. */
     public record ListChanged(ListMode mode, long generation, List<Listing> lines) implements Event {}
@@ -95,6 +95,9 @@
     /** Other settings; {@code was} tells where each class stood in those before, -1 for a new one. */
     public record Retuned(Settings settings, List<Integer> was) implements Event {}
 
+    /** A write that another process of this front answered; session 0 stands for the group's floor. */
+    public record Written(int group, long session, long positionNs) implements Event {}
+
     /** A message from another front. */
     public record PeerMessage(int from, byte[] body) implements Event {}
 
--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -2,6 +2,7 @@
 
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
+import holdmux.core.Shared;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,24 +30,33 @@
      * and who is sent away sooner only comes here again. */
     private static final long AWAY_NS = 400 * Clock.MS;
 
-    private final int most;
+    private final int cap;
+    private final Shared shared;
     /** When the program ends; far away until it is told to. */
     private volatile long endsAt = Long.MAX_VALUE;
     /** Since when clients are sent away; far away while they are not. */
     private volatile long awaySince = Long.MAX_VALUE;
+    /** Whether another process takes the clients that this one ends. */
+    private volatile boolean handingOver;
     private final Clock clock;
-    /** All that are open, at most {@link #most}. */
+    /** All that are open, at most {@link #most()}. */
     private final Set<ClientSession> open = new HashSet<>();
     /** Those that have asked nothing well-formed yet, with when they came, and those at rest since their last answer;
      * oldest first. */
     private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), resting = new LinkedHashMap<>();
 
-    Clients(int most, Clock clock, Deadlines deadlines) {
-        this.most = most;
+    Clients(int cap, Shared shared, Clock clock, Deadlines deadlines) {
+        this.cap = cap;
+        this.shared = shared;
         this.clock = clock;
         sweepLater(deadlines);
     }
 
+    /** What the other process of this pooler holds is not to be had here. */
+    private int most() {
+        return Math.max(0, cap - shared.clients());
+    }
+
     private void sweepLater(Deadlines deadlines) {
         deadlines.after(SWEEP_NS, () -> {
             sweep();
@@ -59,26 +69,26 @@
         if (endsAt != Long.MAX_VALUE) {
             return;
         }
-        if (sendsAway()) {
+        if (isAway() && sendsAway()) {
             List.copyOf(resting.keySet()).forEach(ClientSession::closeAtRest);
             closeOldest(silent, clock.now() - AWAY_NS, open.size());
             return;
         }
         long before = clock.now() - REST_NS;
-        closeOldest(resting, before, open.size() - most / REST_PART);
-        closeOldest(resting, clock.now() - CROWD_REST_NS, open.size() - most / CROWD_PART);
-        closeOldest(silent, before, open.size() - most / REST_PART);
+        closeOldest(resting, before, open.size() - most() / REST_PART);
+        closeOldest(resting, clock.now() - CROWD_REST_NS, open.size() - most() / CROWD_PART);
+        closeOldest(silent, before, open.size() - most() / REST_PART);
     }
 
     /** Takes in a new connection, for which others may be closed; false if there is no room. */
     synchronized boolean admit(ClientSession session) {
         long now = clock.now();
-        if (open.size() >= most) {
+        if (open.size() >= most()) {
             // whoever has asked nothing that can be answered must not keep out those who ask
             List.copyOf(silent.keySet()).stream().filter(ClientSession::closeUnlessAnswering).findFirst()
                     .ifPresent(this::gone);
         }
-        if (open.size() >= most) {
+        if (open.size() >= most()) {
             return false;
         }
         open.add(session);
@@ -119,9 +129,14 @@
         return awaySince != Long.MAX_VALUE;
     }
 
+    /** From now on a connection ends behind its next answer: its client finds the other process at once. */
+    void handOver() {
+        handingOver = true;
+    }
+
     /** Whether a connection is to end as soon as it rests. */
     boolean sendsAway() {
-        return isAway() && clock.now() - awaySince >= AWAY_NS;
+        return handingOver || isAway() && clock.now() - awaySince >= AWAY_NS;
     }
 
     void endAfter(long afterNs) {
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -9,6 +9,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Log;
+import holdmux.core.Shared;
 import holdmux.core.Workers;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
@@ -16,31 +17,41 @@
 /** The PostgreSQL front end: its listener, its clients and its connections to servers. */
 public final class PgFront {
     private final Listener listener;
+    private final ServerPool servers;
     private final Clients clients;
     private final Deployment deployment;
     private volatile boolean serving;
 
     public PgFront(Config config, Balancer balancer, Fleet fleet, Clock clock, Deadlines deadlines,
-            Counters counters, Workers workers, CountDownLatch ready) throws IOException {
+            Counters counters, Workers workers, Shared shared, CountDownLatch ready) throws IOException {
         // a set of buffers for each side, so that slow clients cannot starve the servers' side
         Caps caps = config.caps();
         deployment = config.deployment();
-        ServerPool servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
-                balancer::deployment, caps.servers());
+        servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
+                balancer::deployment, caps.servers(), shared);
         balancer.connect(servers, servers::closeAllIdle);
-        clients = new Clients(caps.clients(), clock, deadlines);
+        clients = new Clients(caps.clients(), shared, clock, deadlines);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet,
                 servers, new Buffers(caps.buffers()), clock, deadlines, counters, workers, ready,
                 clients));
     }
 
-    /** Accepts clients until {@link #stopAccepting}; what comes before it is warm waits in the kernel. */
-    public void run() {
+    /** From now on who connects waits in the kernel for {@link #run}. */
+    public void listen() throws IOException {
+        listener.listen();
+    }
+
+    /** Makes the code warm that the first requests need. */
+    public void warmUp() {
         try {
             Rehearsal.run(deployment);
         } catch (ProtocolException | RuntimeException e) {
             Log.error("the rehearsal failed; the first requests will be slow", e);
         }
+    }
+
+    /** Accepts clients until {@link #stopAccepting}. */
+    public void run() throws IOException {
         serving = true;
         listener.run();
     }
@@ -60,7 +71,18 @@
         listener.endAfter(afterNs);
     }
 
-    public void stopAccepting() throws IOException {
+    /** Connections held to servers. */
+    public int serverConnections() {
+        return servers.held();
+    }
+
+    /** Ends each client's connection behind its next answer: another process takes its client. */
+    public void handOver() {
+        clients.handOver();
+    }
+
+    /** Returns once whoever had connected is taken in and nobody else can. */
+    public void stopAccepting() throws InterruptedException {
         serving = false;
         listener.stopAccepting();
     }
--- a/src/main/java/holdmux/pg/ServerPool.java
+++ b/src/main/java/holdmux/pg/ServerPool.java
@@ -10,6 +10,7 @@
 import holdmux.core.Fleet;
 import holdmux.core.Prober;
 import holdmux.core.Reply;
+import holdmux.core.Shared;
 import holdmux.decision.SplitterApi.Outcome;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -36,12 +37,13 @@
     private final Supplier<Deployment> deployment;
     private final Answer.Form form;
     private final int most;
+    private final Shared shared;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
     private int held;
 
     /** {@code most}: connections at once. */
     ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
-            Supplier<Deployment> deployment, int most) {
+            Supplier<Deployment> deployment, int most, Shared shared) {
         this.fleet = fleet;
         this.clock = clock;
         this.deadlines = deadlines;
@@ -50,6 +52,7 @@
         this.deployment = deployment;
         form = new Answer.Form(deployment.get().reportFields(), deployment.get().settings().zeroNs());
         this.most = most;
+        this.shared = shared;
     }
 
     /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
@@ -160,7 +163,7 @@
 
     private boolean reserve() {
         synchronized (this) {
-            if (held < most) {
+            if (held < most - shared.servers()) {
                 held++;
                 return true;
             }
@@ -169,6 +172,11 @@
         return false;
     }
 
+    /** Connections held now, in use or idle. */
+    synchronized int held() {
+        return held;
+    }
+
     private synchronized void unreserve() {
         held--;
     }
--- a/src/test/java/holdmux/MainTest.java
+++ b/src/test/java/holdmux/MainTest.java
@@ -44,17 +44,11 @@
     @Test
     @Timeout(30)
     void aHangUpMovesTheWatchAndEndsNothing(@TempDir Path folder) throws Exception {
-        int port;
-        try (ServerSocket free = agent()) {
-            port = free.getLocalPort();
-        }
+        int port = freePort();
         Path file = folder.resolve("config.json");
         try (ServerSocket first = agent(); ServerSocket second = agent()) {
             Files.writeString(file, config(first, port));
-            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "holdmux.Main", "serve");
-            builder.environment().put("BALANCER_CONFIG", file.toString());
-            Process pooler = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+            Process pooler = serve(folder, file, "log", freePort());
             try {
                 assertEquals("GET /v1/endpoints HTTP/1.1", answerOnce(first));
                 Files.writeString(file, "{");
@@ -74,6 +68,70 @@
         }
     }
 
+    private static int freePort() throws IOException {
+        try (ServerSocket free = agent()) {
+            return free.getLocalPort();
+        }
+    }
+
+    private static Process serve(Path folder, Path file, String log, int management) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "holdmux.Main", "serve");
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.environment().put("BALANCER_MANAGEMENT", "127.0.0.1:" + management);
+        builder.environment().put("TMPDIR", folder.toString());
+        return builder.redirectErrorStream(true).redirectOutput(folder.resolve(log).toFile()).start();
+    }
+
+    /** The status of a call to the operators' address; tries again until somebody listens there. */
+    private static int call(int port, String call) throws Exception {
+        while (true) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.getOutputStream().write((call + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                return Integer.parseInt(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                        .substring(9, 12));
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    /** A second start takes over beside the first, which ends at SIGTERM; an order given to the one binds the other. */
+    @Test
+    @Timeout(40)
+    void aNewVersionTakesOverBesideTheOld(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        int[] management = {freePort(), freePort()};
+        try (ServerSocket agent = agent()) {
+            Files.writeString(file, config(agent, freePort()));
+            Process older = serve(folder, file, "older", management[0]);
+            Process newer = null;
+            try {
+                while (call(management[0], "GET /api/ready") != 200) {
+                    Thread.sleep(20);
+                }
+                newer = serve(folder, file, "newer", management[1]);
+                while (call(management[1], "GET /api/ready") != 200) {
+                    Thread.sleep(20);
+                }
+                assertEquals(200, call(management[1], "PUT /api/exclude/s-1"));
+                assertEquals(200, call(management[0], "PUT /api/evacuate"));
+                assertEquals(503, call(management[1], "GET /api/ready"));
+                older.destroy(); // SIGTERM
+                assertTrue(older.waitFor(10, TimeUnit.SECONDS));
+                assertTrue(newer.isAlive());
+                assertEquals(200, call(management[1], "PUT /api/include/s-1"));
+                assertEquals(200, call(management[1], "PUT /api/rejoin"));
+                assertEquals(200, call(management[1], "GET /api/ready"));
+            } finally {
+                older.destroyForcibly();
+                if (newer != null) {
+                    newer.destroyForcibly();
+                }
+            }
+        }
+    }
+
     private static void hangUp(Process pooler) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(pooler.pid())).start().waitFor());
     }
--- a/src/test/java/holdmux/core/BalancerTest.java
+++ b/src/test/java/holdmux/core/BalancerTest.java
@@ -211,4 +211,21 @@
                 s.guards(), s.waitNs(), s.zeroNs(), s.remembered(), s.showsRole(), s.mustSubscribe(), s.rules(),
                 s.limits(), s.positionField(), s.primaryField(), s.queueField(), s.inflightField(), s.utilField());
     }
+
+    /** The log of writes hears before the client does, with the commit that the server told. */
+    @Test
+    void aWriteIsToldBeforeItsClientSeesTheAnswer() {
+        List<String> order = new ArrayList<>();
+        balancer.tellWritesTo(write -> order.add("told " + write.session()));
+        Script script = new Script(Outcome.OK) {
+            @Override
+            public void serve() {
+                order.add("served");
+            }
+        };
+        balancer.life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)),
+                script);
+        assertEquals(List.of("told 7", "served"), order);
+        assertTrue(balancer.writes().stream().anyMatch(w -> w.session() == 7 && w.positionNs() > 0));
+    }
 }
--- a/src/test/java/holdmux/decision/RulesTest.java
+++ b/src/test/java/holdmux/decision/RulesTest.java
@@ -168,4 +168,17 @@
         long store = Front.sentTo(f.at(1, Front.request(3, Front.ANY, 0)));
         assertTrue(Front.refused(f.at(1, f.answer(3, 0, store, Outcome.RESET, Role.UNKNOWN, 0))), "now there is one");
     }
+
+    /** A write that another process of this front answered binds its session's reads here, as does its floor. */
+    @Test
+    void whatTheOtherProcessWroteIsRead() {
+        Front f = new Front(Front.settings(Guards.OFF, true), 1).listed();
+        f.at(0, f.probe(1, 0, true), f.probe(2, 50, false), f.probe(3, 50, false));
+        f.at(0, new Written(1, 5, f.now - 10 * MS));
+        assertEquals(1, f.sentWhenAsked(0, Front.request(1, Front.OWN, 5)), "no replica has it");
+        assertNotEquals(1, f.sentWhenAsked(0, Front.request(2, Front.OWN, 6)), "another session has not written");
+        f.at(0, new Written(1, 0, f.now - 10 * MS));
+        assertEquals(1, f.sentWhenAsked(0, Front.request(3, Front.OWN, 7)), "no replica is past the floor");
+        assertTrue(f.splitter.writes().contains(new Written(1, 5, f.now - 10 * MS)));
+    }
 }
--- a/src/test/java/holdmux/pg/PoolerTest.java
+++ b/src/test/java/holdmux/pg/PoolerTest.java
@@ -12,6 +12,7 @@
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
+import holdmux.core.Shared;
 import holdmux.core.Workers;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -19,6 +20,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -74,15 +76,22 @@
         Fleet fleet = new Fleet(List.of(), List.of());
         Balancer balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
                 fleet, workers);
-        front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, ready);
+        front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, new Shared(), ready);
+        front.listen();
         balancer.listChanged(config.known(), true);
         Workers.thread("deadlines", deadlines::run).start();
-        Workers.thread("front", front::run).start();
+        Workers.thread("front", () -> {
+            try {
+                front.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).start();
         ready.countDown();
     }
 
     @AfterEach
-    void stop() throws IOException {
+    void stop() throws Exception {
         front.stopAccepting();
         server.close();
     }
@@ -411,4 +420,40 @@
             assertEquals("TDCZ|", types(busy, 2), "what was taken is answered first");
         }
     }
+
+    /** Another process takes over: the address serves two, who had connected is heard, and each answer ends its connection. */
+    @Test
+    void anotherProcessTakesOverWithoutTurningAnyoneAway() throws Exception {
+        try (Socket kept = client(); ServerSocket newer = new ServerSocket()) {
+            send(kept, m -> {
+                startup(m);
+                query(m, "");
+            });
+            assertEquals("hello IZ", types(kept, 2));
+            Thread.sleep(200); // it rests, long after its answer
+            front.handOver();
+            List<Socket> late = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                late.add(client());
+                send(late.get(i), m -> {
+                    startup(m);
+                    query(m, "");
+                });
+            }
+            newer.setReuseAddress(true);
+            newer.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            newer.bind(config.listen());
+            front.stopAccepting();
+            for (Socket socket : late) {
+                assertEquals("hello IZ|", types(socket, 3), "taken in before the listener closed");
+                socket.close();
+            }
+            send(kept, m -> query(m, ""));
+            assertEquals("IZ|", types(kept, 2), "the connection stayed until its next answer");
+            newer.setSoTimeout(5_000);
+            try (Socket next = client()) {
+                newer.accept().close();
+            }
+        }
+    }
 }
