--- a/src/main/java/holdmux/config/Caps.java
+++ b/src/main/java/holdmux/config/Caps.java
@@ -2,9 +2,9 @@
 
 /**
  * How much the program takes on at once, from the limits that it was told: client connections, server connections,
- * worker threads, and buffers on either side.
+ * worker threads, and bytes of buffers on either side, for what clients send and for what servers answer.
  */
-public record Caps(int clients, int servers, int workers, int buffers) {
+public record Caps(int clients, int servers, int workers, int queryBytes, int answerBytes) {
     /** Parts in 100 of the descriptors; the rest is spare for discovery, the log and the virtual machine. */
     private static final int CLIENT_PART = 50, SERVER_PART = 35;
     /** What the virtual machine may take in all by its flags in deploy/balancer.toml: 64 MiB of heap, and some 25 MiB
@@ -16,12 +16,16 @@
     private static final int LEAST_CLIENTS = 32;
     /** Probes beside the requests: two for each server of the largest fleet. */
     private static final int PROBES = 40;
-    /** A quarter of the heap for buffers of 136 KiB, in two sets; each is held only while a long message passes. */
-    private static final int BUFFERS = 60;
+    /** Parts of the memory for long messages. Under 144 MB, the least so far with long values, queries have 18 MB, two of
+     * the longest and some; answers pass through and have 8 MB. More than that the heap of 64 MB has no room for. */
+    private static final int QUERY_PART = 8, ANSWER_PART = 18, MOST_FOR_BUFFERS_MB = 144;
+    private static final int MB = 1 << 20;
 
     static Caps of(int sockets, int memoryMb) {
         int byMemory = Math.max(LEAST_CLIENTS, (memoryMb - MACHINE_MB) * 1_024 / CLIENT_KB);
         int clients = Math.max(1, Math.min(sockets * CLIENT_PART / 100, byMemory));
-        return new Caps(clients, Math.max(1, sockets * SERVER_PART / 100), clients + PROBES, BUFFERS);
+        int forBuffers = Math.min(memoryMb, MOST_FOR_BUFFERS_MB) * MB;
+        return new Caps(clients, Math.max(1, sockets * SERVER_PART / 100), clients + PROBES, forBuffers / QUERY_PART,
+                forBuffers / ANSWER_PART);
     }
 }
--- a/src/main/java/holdmux/core/Shared.java
+++ b/src/main/java/holdmux/core/Shared.java
@@ -5,13 +5,25 @@
  * while there is no other.
  */
 public final class Shared {
+    private volatile boolean present;
     private volatile int clients, servers;
 
     public void othersHold(int clients, int servers) {
+        present = true;
         this.clients = clients;
         this.servers = servers;
     }
 
+    public void ends() {
+        othersHold(0, 0);
+        present = false;
+    }
+
+    /** Whether there is another process now. */
+    public boolean present() {
+        return present;
+    }
+
     /** Client connections held by the other process. */
     public int clients() {
         return clients;
--- a/src/main/java/holdmux/pg/Answer.java
+++ b/src/main/java/holdmux/pg/Answer.java
@@ -11,11 +11,16 @@
 
 /**
  * Parses a server's answer as its bytes come in, up to ReadyForQuery. The messages of a served answer (RowDescription,
- * one DataRow, CommandComplete) lie together in the buffer and go on to the client as they are.
+ * one DataRow, CommandComplete) lie together in the buffer and go on to the client as they are. A row with a long value
+ * is only begun here: it passes through in pieces, and what stands behind it is parsed after that.
  */
 final class Answer {
     private static final long NS_PER_MS = 1_000_000L;
     private static final int NONE = -1;
+    /** Values above this stream, up to the longest there may be; some room for the messages round them. */
+    private static final int WHOLE_VALUE = 64 * 1024, MOST_VALUE = 4 * 1024 * 1024 + 1_024;
+    /** In front of a row's value: how many columns there are, and the length of the one. */
+    private static final int ROW_HEAD = Short.BYTES + Integer.BYTES;
     private static final byte[] READY = {'Z', 0, 0, 0, 5, 'I'};
 
     /** How answers are to be read: the fields of reports, and where positions in reports count from. */
@@ -26,8 +31,11 @@
     private final long zeroNs;
     private int parsed;
     private int rowFrom = NONE, rowTo = NONE, valueFrom, valueLength = NONE;
-    private int rows;
+    private int rows, completeFrom;
     private boolean described, complete, ready, surplus;
+    /** Of a long row that has begun: how much of the buffer belongs to it, how much is filled, and what is to come. */
+    private int begunTo, filled;
+    private long toCome = NONE;
     private String sqlState;
     private Role role = Role.UNKNOWN;
     private long positionNs;
@@ -39,10 +47,17 @@
         zeroNs = form.zeroNs();
     }
 
-    /** Parses what is whole of the buffer's first {@code length} bytes; true once ReadyForQuery has come. */
+    /** Parses what is whole of the buffer's first {@code length} bytes; true once ReadyForQuery or a long row has come. */
     boolean parse(int length) throws ProtocolException {
-        while (!ready && length - parsed >= Message.HEAD) {
+        while (!ready && !begun() && length - parsed >= Message.HEAD) {
             int size = ByteBuffer.wrap(buffer).getInt(parsed + 1);
+            if (buffer[parsed] == 'D' && size > Integer.BYTES + ROW_HEAD + WHOLE_VALUE && size <= MOST_VALUE) {
+                if (length - parsed < Message.HEAD + ROW_HEAD) {
+                    return false;
+                }
+                begin(size, length);
+                return true;
+            }
             if (size < 4 || size > buffer.length - parsed - 1) {
                 throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + size + " bytes");
             }
@@ -56,6 +71,45 @@
         return ready;
     }
 
+    /** A long row: all that must be checked of it stands in its head. */
+    private void begin(int size, int length) throws ProtocolException {
+        ByteBuffer head = ByteBuffer.wrap(buffer, parsed + Message.HEAD, ROW_HEAD);
+        inOrder(described && !complete && rows == 0 && sqlState == null);
+        if (head.getShort() != 1 || head.getInt() != size - Integer.BYTES - ROW_HEAD) {
+            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a column does not fill its row");
+        }
+        rows = 1;
+        filled = length;
+        begunTo = Math.min(length, parsed + 1 + size);
+        toCome = parsed + 1 + size - begunTo;
+    }
+
+    /** Whether a long row has begun, so that the rest is to pass through as it comes. */
+    boolean begun() {
+        return toCome != NONE;
+    }
+
+    /** How much of a long row has not come yet. */
+    long toCome() {
+        return toCome;
+    }
+
+    /** Writes what has come of a long row, and all that stands before it; what has come behind it is parsed next. */
+    int beginTo(OutputStream out) throws IOException {
+        out.write(buffer, rowFrom, begunTo - rowFrom);
+        int behind = filled - begunTo;
+        System.arraycopy(buffer, begunTo, buffer, 0, behind);
+        toCome = NONE;
+        parsed = 0;
+        return behind;
+    }
+
+    /** Writes what stands behind a long row once all of it has come. */
+    void endTo(OutputStream out) throws IOException {
+        out.write(buffer, completeFrom, rowTo - completeFrom);
+        out.write(READY);
+    }
+
     private void message(char type, int from, int to) throws ProtocolException {
         switch (type) {
             case 'T' -> {
@@ -70,6 +124,7 @@
             case 'C' -> {
                 inOrder(!complete);
                 complete = true;
+                completeFrom = from - Message.HEAD;
                 rowTo = to;
             }
             case 'E' -> sqlState = sqlState(from, to);
@@ -194,7 +249,7 @@
 
     /** What the answer to a request means, by the protocol's table. */
     Reply reply() {
-        Outcome outcome = served() ? Outcome.OK : sqlState == null ? Outcome.ERROR : switch (sqlState) {
+        Outcome outcome = served() || begun() ? Outcome.OK : sqlState == null ? Outcome.ERROR : switch (sqlState) {
             case SqlState.READ_ONLY_SQL_TRANSACTION, SqlState.SNAPSHOT_TOO_OLD -> Outcome.MISS;
             case SqlState.TOO_MANY_CONNECTIONS -> Outcome.FULL;
             default -> Outcome.ERROR;
--- a/src/main/java/holdmux/pg/ClientInput.java
+++ b/src/main/java/holdmux/pg/ClientInput.java
@@ -18,7 +18,8 @@
     private final Clock clock;
     private final byte[] ahead = new byte[AHEAD];
     private int from, to;
-    private long by;
+    /** When what is being read must have come at the latest, and how long its peer may pause. */
+    private long by, pauseMs;
     private boolean timed;
 
     ClientInput(Socket socket, Clock clock) throws IOException {
@@ -44,20 +45,32 @@
         return ahead[from++] & 0xff;
     }
 
-    /** From here on all that is read must have come within this time, however often a byte of it drops in. */
-    void within(long ms) {
+    /** From here on all that is read must have come within this time, and the next of it always within the pause. */
+    void within(long ms, long pauseMs) {
         by = clock.now() + ms * Clock.MS;
+        this.pauseMs = pauseMs;
+    }
+
+    /** Time that passed because of us, not of the peer. */
+    void forgive(long ns) {
+        by += ns;
     }
 
     void read(byte[] into, int length) throws IOException, ProtocolException {
-        int got = Math.min(length, to - from);
-        System.arraycopy(ahead, from, into, 0, got);
-        from += got;
+        int got = 0;
         while (got < length) {
-            got += more(into, got, length - got);
+            got += some(into, got, length - got);
         }
     }
 
+    /** Reads what there is of this much, at least a byte. */
+    int some(byte[] into, int at, int length) throws IOException, ProtocolException {
+        int got = Math.min(length, to - from);
+        System.arraycopy(ahead, from, into, at, got);
+        from += got;
+        return got > 0 ? got : more(into, at, length);
+    }
+
     int number() throws IOException, ProtocolException {
         byte[] bytes = new byte[Integer.BYTES];
         read(bytes, bytes.length);
@@ -74,10 +87,10 @@
     }
 
     private int more(byte[] into, int at, int length) throws IOException, ProtocolException {
-        long left = by - clock.now();
+        long left = Math.min(pauseMs, (by - clock.now()) / Clock.MS + 1);
         if (left > 0) {
             try {
-                socket.setSoTimeout((int) (left / Clock.MS) + 1);
+                socket.setSoTimeout((int) left);
                 timed = true;
                 int got = in.read(into, at, length);
                 if (got < 0) {
--- a/src/main/java/holdmux/pg/ClientSession.java
+++ b/src/main/java/holdmux/pg/ClientSession.java
@@ -21,6 +21,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -42,7 +43,11 @@
      * What waits for its answer: a query of so many bytes, in a buffer of the pool where it is long, or what was wrong
      * with the input. Neither is the client's farewell.
      */
-    private record Turn(byte[] query, int length, boolean pooled, ProtocolException wrong) {}
+    private record Turn(Text query, ProtocolException wrong) {
+        int length() {
+            return query == null ? 0 : query.length;
+        }
+    }
 
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
     /** A startup packet is a few short names; PostgreSQL itself takes no more than this. */
@@ -55,9 +60,14 @@
     private static final int TEXT_TYPE = 25;
     /** Bad inputs for each line of the log. */
     private static final int LOG_EVERY = 100;
-    /** A message once begun must be whole within this time, and an answer taken: clients do both in one go, and
-     * what hangs is owed an end within 3 s. */
-    private static final int MESSAGE_MS = 2_000;
+    /** A client may take 2 s for the head of a message or pause so long within it; what hangs is owed an end within
+     * 3 s. */
+    private static final int PAUSE_MS = 2_600;
+    /** Whatever its pauses, a message must come at this pace after a start: who drips holds buffers for good. */
+    private static final int DRIP_MS = 10_000, DRIP_BYTES_PER_MS = 16;
+    /** A client must take a piece of its answer within this; then it is cut off, and the thread goes free. */
+    private static final int TAKE_MS = 5_000;
+    private static final int PIECE = 16 * 1024;
     /** Commands that may wait on one connection behind the one that is answered, and bytes of them that are read
      * ahead. Drivers that pipeline send a few; the caps of all clients together are a few MiB. */
     private static final int MOST_AHEAD = 32, BYTES_AHEAD = 8_192;
@@ -84,7 +94,7 @@
         this.context = context;
         counters = context.counters();
         in = new ClientInput(socket, context.clock());
-        out = socket.getOutputStream();
+        out = new Pieces(socket.getOutputStream());
     }
 
     @Override
@@ -100,7 +110,7 @@
             }
         } catch (ProtocolException e) {
             readNoMore();
-            answerLater(new Turn(null, 0, false, e));
+            answerLater(new Turn(null, e));
         } catch (IOException e) {
             if (!endsAfterAnswer()) {
                 leave(); // the client is gone, or was told to go
@@ -114,7 +124,7 @@
 
     /** Up to the first ReadyForQuery; false where the connection was for something else. */
     private boolean startup() throws IOException, ProtocolException {
-        in.within(MESSAGE_MS);
+        in.within(PAUSE_MS, PAUSE_MS);
         while (true) {
             int length = in.number();
             if (length < 8 || length > MOST_STARTUP) {
@@ -172,18 +182,18 @@
         awaitRoom();
         int type = in.first();
         begin();
-        in.within(MESSAGE_MS);
+        in.within(PAUSE_MS, PAUSE_MS);
         int length = in.number() - Integer.BYTES;
         if (length < 0) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of " + length + " bytes");
-        } else if (length > Buffers.SIZE) {
+        } else if (length > Math.min(Statement.MOST, context.buffers().longest())) {
             throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "a message of " + length + " bytes");
         }
         switch (type) {
             case 'Q' -> answerLater(query(length));
             case 'X' -> {
                 readNoMore();
-                answerLater(new Turn(null, 0, false, null));
+                answerLater(new Turn(null, null));
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
@@ -196,29 +206,33 @@
         return true;
     }
 
-    /** Reads the body of a query. */
+    /** Reads the body of a query; a long one into buffers of the pool, as its bytes come and the pool has room. */
     private Turn query(int length) throws IOException, ProtocolException {
+        in.within(DRIP_MS + length / DRIP_BYTES_PER_MS, PAUSE_MS);
         if (length <= SHORT) {
             byte[] body = new byte[length];
             in.read(body, length);
-            return new Turn(body, length, false, null);
-        }
-        byte[] buffer;
-        try {
-            buffer = context.buffers().take();
-        } catch (Buffers.NoneFree e) {
-            in.skip(length);
-            return new Turn(null, 0, false, ProtocolException.rejected(SqlState.TOO_MANY_CONNECTIONS,
-                    "too many long queries at once"));
+            return new Turn(Text.of(body, length), null);
         }
+        List<byte[]> parts = new ArrayList<>();
+        Text text = new Text(parts, length, true);
         boolean whole = false;
         try {
-            in.read(buffer, length);
+            for (int got = 0; got < length;) {
+                if (got == parts.size() * Buffers.SIZE) {
+                    long before = context.clock().now();
+                    parts.add(context.buffers().takeFor(this, socket::isClosed));
+                    in.forgive(context.clock().now() - before);
+                }
+                int at = got % Buffers.SIZE;
+                got += in.some(parts.get(parts.size() - 1), at, Math.min(length - got, Buffers.SIZE - at));
+            }
             whole = true;
-            return new Turn(buffer, length, true, null);
+            return new Turn(text, null);
         } finally {
+            context.buffers().wholeFor(this);
             if (!whole) {
-                context.buffers().give(buffer);
+                text.release(context.buffers());
             }
         }
     }
@@ -308,15 +322,15 @@
     }
 
     private void release(Turn turn) {
-        if (turn.pooled()) {
-            context.buffers().give(turn.query());
+        if (turn.query() != null) {
+            turn.query().release(context.buffers());
         }
     }
 
     private void answerQuery(Turn turn) throws IOException, ProtocolException {
-        byte[] query = turn.query();
+        Text query = turn.query();
         int end = turn.length() - 1;
-        if (end < 0 || query[end] != 0) {
+        if (end < 0 || query.at(end) != 0) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a query that does not end in a zero");
         }
         if (blank(query, end)) {
@@ -332,7 +346,7 @@
             context.clients().works(this);
             showStats();
         } else {
-            Statement statement = Statement.parse(query, end);
+            Statement statement = Statement.parse(query.butLast());
             Request.Call call = call(statement);
             context.clients().works(this);
             if (context.clients().timeLeft() < waitNs(statement) && statement.write) {
@@ -390,15 +404,15 @@
         return message.put(text.length).put(text, 0, text.length);
     }
 
-    private static boolean isShowStats(byte[] query, int end) {
+    private static boolean isShowStats(Text query, int end) {
         // 32 bytes hold the command with room for blanks; longer ones are statements
-        return end < 32 && new String(query, 0, end, StandardCharsets.UTF_8).strip().toUpperCase(Locale.ROOT)
+        return end < 32 && query.string(0, end).strip().toUpperCase(Locale.ROOT)
                 .matches("SHOW STATS\\s*;?");
     }
 
-    private static boolean blank(byte[] query, int end) {
+    private static boolean blank(Text query, int end) {
         for (int i = 0; i < end; i++) {
-            if (query[i] != ' ' && query[i] != ';' && query[i] != '\n' && query[i] != '\t' && query[i] != '\r') {
+            if (" ;\n\t\r".indexOf(query.at(i)) < 0) {
                 return false;
             }
         }
@@ -439,7 +453,7 @@
         @Override
         public Reply attempt(Attempt attempt) {
             long limitMs = Math.max(1, attempt.limitNs / Clock.MS);
-            return context.servers().talk(attempt, message -> statement.writeTo(message, limitMs), this::heard);
+            return context.servers().talk(attempt, statement.compose(limitMs), this::heard);
         }
 
         private Reply heard(Answer answer) {
@@ -455,7 +469,15 @@
         @Override
         public void serve() throws IOException {
             try {
-                guarded(() -> served.writeTo(out));
+                if (served.begun()) {
+                    counters.count(Counter.LONG_ANSWERS);
+                    context.servers().relay(served, out);
+                } else {
+                    served.writeTo(out);
+                }
+            } catch (IOException e) {
+                leave(); // what is cut short shows as that
+                throw e;
             } finally {
                 context.servers().giveBack(served);
             }
@@ -499,20 +521,32 @@
     private void write(Consumer<Message> composer) throws IOException {
         Message message = new Message(new byte[OWN_MESSAGES]);
         composer.accept(message);
-        guarded(() -> message.writeTo(out));
+        message.writeTo(out);
     }
 
-    private interface Writing {
-        void run() throws IOException;
-    }
+    /** Writes to the client in pieces; one that does not take the next piece in time is cut off. */
+    private final class Pieces extends OutputStream {
+        private final OutputStream to;
 
-    /** Writes; a client that does not take it in time is cut off, and the thread goes free. */
-    private void guarded(Writing writing) throws IOException {
-        Deadlines.Deadline timeOut = context.deadlines().after(MESSAGE_MS * Clock.MS, this::close);
-        try {
-            writing.run();
-        } finally {
-            context.deadlines().cancel(timeOut);
+        Pieces(OutputStream to) {
+            this.to = to;
+        }
+
+        @Override
+        public void write(int one) throws IOException {
+            write(new byte[] {(byte) one}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] from, int at, int length) throws IOException {
+            for (int done = 0; done < length; done += PIECE) {
+                Deadlines.Deadline timeOut = context.deadlines().after(TAKE_MS * Clock.MS, ClientSession.this::close);
+                try {
+                    to.write(from, at + done, Math.min(PIECE, length - done));
+                } finally {
+                    context.deadlines().cancel(timeOut);
+                }
+            }
         }
     }
 
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -27,12 +27,12 @@
         // a set of buffers for each side, so that slow clients cannot starve the servers' side
         Caps caps = config.caps();
         deployment = config.deployment();
-        servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.buffers()),
+        servers = new ServerPool(fleet, clock, deadlines, counters, new Buffers(caps.answerBytes(), Buffers.SIZE, shared::present),
                 balancer::deployment, caps.servers(), shared);
         balancer.connect(servers, servers::closeAllIdle);
         clients = new Clients(caps.clients(), shared, clock, deadlines);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet,
-                servers, new Buffers(caps.buffers()), clock, deadlines, counters, workers, ready,
+                servers, new Buffers(caps.queryBytes(), Statement.MOST, shared::present), clock, deadlines, counters, workers, ready,
                 clients));
     }
 
--- a/src/main/java/holdmux/pg/Rehearsal.java
+++ b/src/main/java/holdmux/pg/Rehearsal.java
@@ -46,11 +46,10 @@
                 .parameterStatus("pressure", "x0=1767225599.5,x1=0,inflight=7,util=0.61").readyForQuery();
         int length = answer.bytes().remaining();
         Answer.Form form = new Answer.Form(deployment.reportFields(), deployment.settings().zeroNs());
-        byte[] sent = new byte[Buffers.SIZE];
         int parsed = 0;
         for (int i = 0; i < ROUNDS; i++) {
-            Statement statement = Statement.parse(query, query.length);
-            statement.writeTo(new Message(sent), statement.waitMs);
+            Statement statement = Statement.parse(Text.of(query, query.length));
+            parsed += statement.compose(statement.waitMs).size() > 0 ? 0 : 1;
             Answer heard = new Answer(buffer, form);
             parsed += heard.parse(length) && heard.reply().outcome() == Outcome.OK ? 1 : 0;
         }
--- a/src/main/java/holdmux/pg/ServerConnection.java
+++ b/src/main/java/holdmux/pg/ServerConnection.java
@@ -1,18 +1,25 @@
 package holdmux.pg;
 
+import holdmux.core.Clock;
+import holdmux.core.Deadlines;
 import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 
 /**
  * One connection to a server: blocking, one request at a time. A channel rather than a Socket, because only a
  * channel can be looked into without waiting; there is no selector.
  */
 final class ServerConnection implements Closeable {
+    /** A server that gives nothing more of an answer for so long has vanished: far beyond a slow writer's pauses. */
+    private static final long SILENT_NS = 5_000 * Clock.MS;
+
     final long store;
     final InetSocketAddress address;
     private final SocketChannel channel;
@@ -31,24 +38,35 @@
         channel.connect(address);
     }
 
-    /** Writes what is composed; returns once the last byte is written. */
-    void send(java.util.function.Consumer<Message> composer) throws IOException {
+    /** Writes these bytes, a usual query of them in one go; returns once the last byte is written. */
+    void send(List<ByteBuffer> parts) throws IOException {
+        int length = parts.stream().mapToInt(ByteBuffer::remaining).sum();
+        if (length > Buffers.SIZE) {
+            for (ByteBuffer part : parts) {
+                write(part);
+            }
+            return;
+        }
         byte[] buffer = buffers.take();
         try {
-            Message message = new Message(buffer);
-            composer.accept(message);
-            ByteBuffer bytes = message.bytes();
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
+            ByteBuffer whole = ByteBuffer.wrap(buffer);
+            parts.forEach(whole::put);
+            write(whole.flip());
         } finally {
             buffers.give(buffer);
         }
     }
 
+    private void write(ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
     /**
-     * Reads a whole answer; no buffer is held before its first bytes come. The answer keeps its buffer, which the
-     * caller gives back. If the connection breaks behind a served row or an error, that stands all the same.
+     * Reads a whole answer, or one up to where a long row has begun; no buffer is held before its first bytes come. The
+     * answer keeps its buffer, which the caller gives back. If the connection breaks behind a served row or an error,
+     * that stands all the same.
      */
     Answer receive(Answer.Form form) throws IOException, ProtocolException {
         byte[] head = new byte[Message.HEAD];
@@ -77,6 +95,38 @@
         return answer;
     }
 
+    /** Passes an answer whose long row has begun on to its end, as it comes, in pieces of its one buffer. */
+    void relay(Answer answer, OutputStream out, Deadlines deadlines) throws IOException, ProtocolException {
+        long left = answer.toCome();
+        ByteBuffer in = ByteBuffer.wrap(answer.buffer).position(answer.beginTo(out));
+        while (left > 0) {
+            read(in.clear().limit((int) Math.min(left, in.capacity())), deadlines);
+            left -= in.position();
+            out.write(answer.buffer, 0, in.position());
+            in.position(0);
+        }
+        in.limit(in.capacity());
+        while (!answer.parse(in.position())) {
+            read(in, deadlines);
+        }
+        if (!answer.served()) {
+            throw new IOException("the server broke a long answer off");
+        }
+        answer.endTo(out);
+    }
+
+    /** Some more of an answer that has begun; only silence ends it, however long it takes. */
+    private void read(ByteBuffer in, Deadlines deadlines) throws IOException {
+        Deadlines.Deadline silent = deadlines.after(SILENT_NS, this::close);
+        try {
+            if (channel.read(in) <= 0) {
+                throw new EOFException("the server closed the connection within a long answer");
+            }
+        } finally {
+            deadlines.cancel(silent);
+        }
+    }
+
     /** Whether an idle connection still stands with nothing to be read: neither an end nor a late word. */
     boolean clean() {
         try {
--- a/src/main/java/holdmux/pg/ServerPool.java
+++ b/src/main/java/holdmux/pg/ServerPool.java
@@ -13,12 +13,15 @@
 import holdmux.core.Shared;
 import holdmux.decision.SplitterApi.Outcome;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -26,6 +29,8 @@
 final class ServerPool implements Prober {
     /** Part of the servers' idle time after which we close first: half leaves no race with the server's close. */
     private static final int IDLE_PART = 2;
+    /** Holds a startup packet or a probe. */
+    private static final int OWN_MESSAGES = 128;
 
     private record Idle(ServerConnection connection, Deadline close) {}
 
@@ -39,6 +44,8 @@
     private final int most;
     private final Shared shared;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
+    /** Connections of answers that have begun and are still to be passed on. */
+    private final Map<Answer, ServerConnection> begun = new ConcurrentHashMap<>();
     private int held;
 
     /** {@code most}: connections at once. */
@@ -56,9 +63,10 @@
     }
 
     /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
-    Reply talk(Attempt attempt, Consumer<Message> composer, Function<Answer, Reply> heard) {
+    Reply talk(Attempt attempt, List<ByteBuffer> query, Function<Answer, Reply> heard) {
         ServerConnection connection = null;
         boolean clean = false;
+        boolean kept = false;
         try {
             connection = take(attempt.store);
             if (connection != null) {
@@ -77,10 +85,19 @@
                     return Reply.of(full ? Outcome.FULL : Outcome.CONNECT_FAILED);
                 }
             }
-            connection.send(composer);
+            connection.send(query);
             attempt.written();
             Answer answer = connection.receive(form);
-            clean = attempt.complete() && answer.whole();
+            boolean uncut = attempt.complete();
+            clean = uncut && answer.whole();
+            if (answer.begun() && !uncut) {
+                giveBack(answer); // its connection was closed meanwhile
+                return Reply.of(attempt.broken());
+            }
+            kept = answer.begun();
+            if (kept) {
+                begun.put(answer, connection);
+            }
             return heard.apply(answer);
         } catch (Buffers.NoneFree e) {
             counters.count(Counter.OVER_CAPACITY);
@@ -88,12 +105,26 @@
         } catch (IOException | ProtocolException e) {
             return Reply.of(attempt.broken());
         } finally {
-            if (connection != null) {
+            if (connection != null && !kept) {
                 release(connection, clean);
             }
         }
     }
 
+    /** Passes on the rest of an answer whose long row has begun; the client can tell if it does not come whole. */
+    void relay(Answer answer, OutputStream out) throws IOException {
+        ServerConnection connection = begun.remove(answer);
+        boolean clean = false;
+        try {
+            connection.relay(answer, out, deadlines);
+            clean = answer.whole();
+        } catch (ProtocolException e) {
+            throw new IOException("a long answer was spoilt", e);
+        } finally {
+            release(connection, clean);
+        }
+    }
+
     /** Null, or the SQLSTATE with which the server turned the connection away. */
     private String open(ServerConnection connection, Attempt attempt) throws IOException, ProtocolException {
         counters.count(Counter.SERVER_CONNECTS);
@@ -103,8 +134,8 @@
         Deadline timeOut = deadlines.after(deployment.get().connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
         try {
             connection.connect();
-            connection.send(message -> message.beginUntyped().put(Message.PROTOCOL_3).put("user").put("holdmux")
-                    .put("database").put("crm").put('\0').end());
+            connection.send(List.of(new Message(new byte[OWN_MESSAGES]).beginUntyped().put(Message.PROTOCOL_3).put("user")
+                    .put("holdmux").put("database").put("crm").put('\0').end().bytes()));
             Answer greeting = connection.receive(form);
             buffers.give(greeting.buffer);
             return greeting.sqlState();
@@ -115,7 +146,12 @@
 
     @Override
     public Reply probe(Attempt attempt) {
-        return talk(attempt, message -> message.begin('Q').put("SHOW pressure").end(), answer -> {
+        List<ByteBuffer> query = List.of(new Message(new byte[OWN_MESSAGES]).begin('Q').put("SHOW pressure").end().bytes());
+        return talk(attempt, query, answer -> {
+            ServerConnection endless = begun.remove(answer);
+            if (endless != null) {
+                discard(endless); // no report is that long
+            }
             buffers.give(answer.buffer);
             return answer.probeReply();
         });
--- a/src/main/java/holdmux/pg/Statement.java
+++ b/src/main/java/holdmux/pg/Statement.java
@@ -1,9 +1,10 @@
 package holdmux.pg;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -11,10 +12,16 @@
  * {@code d}, which says there how long this pooler will wait.
  */
 final class Statement {
-    /** Longest literal taken: a value of 64 KiB in hexadecimal behind its {@code \x}. */
-    private static final int MOST_LITERAL = 2 + 2 * 64 * 1024;
+    /** Longest literal taken: a value of 4 MiB in hexadecimal behind its {@code \x}. */
+    static final int MOST_LITERAL = 2 + 2 * 4 * 1024 * 1024;
+    /** Longest key taken, the first literal: what is looked up is a short code. */
+    private static final int MOST_KEY = 64 * 1024;
     /** Longest comment read: its few short values fit many times over. */
     private static final int MOST_COMMENT = 1_024;
+    /** Longest statement: the longest literal and what else there may be. */
+    static final int MOST = MOST_LITERAL + MOST_KEY + 2 * MOST_COMMENT;
+
+    private static final byte[] END = {0};
 
     final boolean write;
     /** The first quoted literal: the key, which names the session in classes that have sessions. */
@@ -25,15 +32,13 @@
     final int group;
     /** The carried position of the session's last write in Unix milliseconds; 0 for none. */
     final long afterMs;
-    private final byte[] text;
-    private final int length;
+    private final Text text;
     /** Where the value of d lies in the text. */
     private final int waitFrom, waitTo;
 
-    private Statement(byte[] text, int length, boolean write, String key, Map<String, String> values, int waitFrom, int waitTo)
+    private Statement(Text text, boolean write, String key, Map<String, String> values, int waitFrom, int waitTo)
             throws ProtocolException {
         this.text = text;
-        this.length = length;
         this.write = write;
         this.key = key;
         this.waitFrom = waitFrom;
@@ -46,47 +51,51 @@
         retry = values.getOrDefault("r", "0").equals("1");
     }
 
-    /** Parses a statement in UTF-8, the first {@code length} bytes of the text, which it keeps. */
-    static Statement parse(byte[] text, int length) throws ProtocolException {
-        try {
-            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(text, 0, length));
-        } catch (CharacterCodingException e) {
+    /** Parses a statement in UTF-8, which it keeps. */
+    static Statement parse(Text text) throws ProtocolException {
+        if (!text.isUtf8()) {
             throw ProtocolException.rejected(SqlState.CHARACTER_NOT_IN_REPERTOIRE, "the statement is not UTF-8");
         }
-        boolean write = startsWith(text, length, "INSERT ");
-        if (!write && !startsWith(text, length, "SELECT ")) {
+        int length = text.length;
+        boolean write = startsWith(text, "INSERT ");
+        if (!write && !startsWith(text, "SELECT ")) {
             throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "only SELECT and INSERT are served here");
         }
         String key = null;
         int from = -1;
         for (int i = 0; i < length && from < 0; i++) {
-            if (text[i] == '\'') {
-                int end = closingQuote(text, length, i + 1);
-                if (end - i - 1 > MOST_LITERAL) {
-                    throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 64 KiB");
+            byte here = text.at(i);
+            if (here == '\'') {
+                int end = closingQuote(text, i + 1);
+                if (end - i - 1 > (key == null ? MOST_KEY : MOST_LITERAL)) {
+                    throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 4 MiB");
                 }
-                key = key != null ? key : new String(text, i + 1, end - i - 1, StandardCharsets.UTF_8);
+                key = key != null ? key : text.string(i + 1, end);
                 i = end;
-            } else if (text[i] == ';') {
+            } else if (here == ';') {
                 throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "one statement per query");
-            } else if (text[i] == '/' && i + 1 < length && text[i + 1] == '*') {
+            } else if (here == '/' && i + 1 < length && text.at(i + 1) == '*') {
                 from = i + 2;
             }
         }
         int to = length - 2;
-        if (key == null || from < 0 || to < from || text[to] != '*' || text[to + 1] != '/') {
+        if (key == null || from < 0 || to < from || text.at(to) != '*' || text.at(to + 1) != '/') {
             throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the statement must name a key and end in a comment");
         }
-        return parseComment(text, length, write, key, from, to);
+        return parseComment(text, write, key, from, to);
     }
 
-    private static Statement parseComment(byte[] text, int length, boolean write, String key, int from, int to)
+    private static Statement parseComment(Text text, boolean write, String key, int from, int to)
             throws ProtocolException {
         if (to - from > MOST_COMMENT) {
             throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "the comment is too long");
         }
         // one char a byte, so that places in the string are places in the text
-        String comment = new String(text, from, to - from, StandardCharsets.ISO_8859_1);
+        StringBuilder chars = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            chars.append((char) (text.at(i) & 0xff));
+        }
+        String comment = chars.toString();
         Map<String, String> values = new HashMap<>();
         int waitFrom = 0;
         int waitTo = 0;
@@ -108,25 +117,21 @@
             }
             at = end + 1;
         }
-        return new Statement(text, length, write, key, values, waitFrom, waitTo);
+        return new Statement(text, write, key, values, waitFrom, waitTo);
     }
 
     /** The place of the quote that ends a literal; a doubled quote is part of it. */
-    private static int closingQuote(byte[] text, int length, int from) throws ProtocolException {
-        for (int i = from; i < length; i++) {
-            if (text[i] == '\'') {
-                if (i + 1 == length || text[i + 1] != '\'') {
-                    return i;
-                }
-                i++;
+    private static int closingQuote(Text text, int from) throws ProtocolException {
+        for (int i = text.find('\'', from); i < text.length; i = text.find('\'', i + 2)) {
+            if (i + 1 == text.length || text.at(i + 1) != '\'') {
+                return i;
             }
         }
         throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "a literal does not end");
     }
 
-    private static boolean startsWith(byte[] text, int length, String word) {
-        return length >= word.length()
-                && new String(text, 0, word.length(), StandardCharsets.ISO_8859_1).equalsIgnoreCase(word);
+    private static boolean startsWith(Text text, String word) {
+        return text.length >= word.length() && text.string(0, word.length()).equalsIgnoreCase(word);
     }
 
     private static String required(Map<String, String> values, String name) throws ProtocolException {
@@ -159,10 +164,16 @@
         return hash == 0 ? 1 : hash; // 0 stands for no session
     }
 
-    /** Composes the query for a server that is given this long. */
-    void writeTo(Message message, long limitMs) {
+    /** The query for a server that is given this long. */
+    List<ByteBuffer> compose(long limitMs) {
         byte[] limit = Long.toString(limitMs).getBytes(StandardCharsets.US_ASCII);
-        message.begin('Q').put(text, 0, waitFrom).put(limit, 0, limit.length)
-                .put(text, waitTo, length - waitTo).put('\0').end();
+        List<ByteBuffer> parts = new ArrayList<>();
+        int length = Integer.BYTES + waitFrom + limit.length + text.length - waitTo + END.length;
+        parts.add(ByteBuffer.allocate(Message.HEAD).put((byte) 'Q').putInt(length).flip());
+        parts.addAll(text.views(0, waitFrom));
+        parts.add(ByteBuffer.wrap(limit));
+        parts.addAll(text.views(waitTo, text.length));
+        parts.add(ByteBuffer.wrap(END));
+        return parts;
     }
 }
--- /dev/null
+++ b/src/main/java/holdmux/pg/Text.java
@@ -0,0 +1,114 @@
+package holdmux.pg;
+
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Bytes that lie in one array or, where they are too many, in a chain of pooled buffers, all full but the last. */
+final class Text {
+    private static final int WINDOW = 4_096;
+
+    private final List<byte[]> parts;
+    private final boolean pooled;
+    final int length;
+
+    /** {@code pooled}: the parts are buffers of {@link Buffers#SIZE}. */
+    Text(List<byte[]> parts, int length, boolean pooled) {
+        this.parts = parts;
+        this.length = length;
+        this.pooled = pooled;
+    }
+
+    static Text of(byte[] bytes, int length) {
+        return new Text(List.of(bytes), length, false);
+    }
+
+    /** The same bytes without the last. */
+    Text butLast() {
+        return new Text(parts, length - 1, pooled);
+    }
+
+    byte at(int place) {
+        return pooled ? parts.get(place / Buffers.SIZE)[place % Buffers.SIZE] : parts.get(0)[place];
+    }
+
+    /** The first place from here on that holds this byte; {@link #length} if none does. */
+    int find(char wanted, int from) {
+        for (ByteBuffer view : views(from, length)) {
+            byte[] part = view.array();
+            int end = view.limit();
+            for (int i = view.position(); i < end; i++) {
+                if (part[i] == wanted) {
+                    return from + i - view.position();
+                }
+            }
+            from += end - view.position();
+        }
+        return length;
+    }
+
+    String string(int from, int to) {
+        byte[] bytes = new byte[Math.max(0, to - from)];
+        ByteBuffer copy = ByteBuffer.wrap(bytes);
+        views(from, from + bytes.length).forEach(copy::put);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    /** The bytes between two places, where they lie. */
+    List<ByteBuffer> views(int from, int to) {
+        List<ByteBuffer> views = new ArrayList<>();
+        int size = pooled ? Buffers.SIZE : Math.max(1, length);
+        for (int at = from; at < to;) {
+            int end = Math.min(to, (at / size + 1) * size);
+            views.add(ByteBuffer.wrap(parts.get(at / size), at % size, end - at));
+            at = end;
+        }
+        return views;
+    }
+
+    boolean isUtf8() {
+        return isAscii() || decodes();
+    }
+
+    private boolean isAscii() {
+        for (ByteBuffer view : views(0, length)) {
+            byte[] part = view.array();
+            int end = view.limit();
+            for (int i = view.position(); i < end; i++) {
+                if (part[i] < 0) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private boolean decodes() {
+        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder();
+        ByteBuffer window = ByteBuffer.allocate(WINDOW);
+        CharBuffer sink = CharBuffer.allocate(WINDOW);
+        for (ByteBuffer view : views(0, length)) {
+            while (view.hasRemaining()) {
+                int taken = Math.min(window.remaining(), view.remaining());
+                window.put(view.slice(view.position(), taken));
+                view.position(view.position() + taken);
+                sink.clear();
+                if (decoder.decode(window.flip(), sink, false).isError()) {
+                    return false;
+                }
+                window.compact(); // what begins here may end in the next part
+            }
+        }
+        return !decoder.decode(window.flip(), sink.clear(), true).isError();
+    }
+
+    /** Gives back the buffers it lies in. */
+    void release(Buffers buffers) {
+        if (pooled) {
+            parts.forEach(buffers::give);
+        }
+    }
+}
--- a/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/src/main/java/holdmux/upgrade/Upgrade.java
@@ -197,7 +197,7 @@
             other = other == link ? null : other;
             notifyAll();
         }
-        shared.othersHold(0, 0);
+        shared.ends();
     }
 
     /** Sends a frame and waits for the other process's word on it; without another there is nothing to wait for. */
--- a/src/test/java/holdmux/pg/AnswerTest.java
+++ b/src/test/java/holdmux/pg/AnswerTest.java
@@ -146,4 +146,25 @@
             }
         }
     }
+
+    /** A long row begins as soon as its head has come, and only if its lengths fit each other. */
+    @Test
+    void aLongRowBeginsAtItsHead() throws ProtocolException {
+        for (int length : new int[] {64 * 1024, 64 * 1024 + 1, 4 * 1024 * 1024}) {
+            Answer answer = begun(length + 10, length);
+            assertEquals(length > 64 * 1024, answer.begun());
+            assertEquals(answer.begun() ? length : -1, answer.toCome());
+        }
+        assertThrows(ProtocolException.class, () -> begun(100_010, 99_999));
+        assertThrows(ProtocolException.class, () -> begun(5 << 20, (5 << 20) - 10));
+        assertThrows(ProtocolException.class, () -> begun(Integer.MAX_VALUE, Integer.MAX_VALUE - 10));
+    }
+
+    private static Answer begun(int row, int value) throws ProtocolException {
+        byte[] bytes = bytes(m -> m.begin('T').putShort(1).put("data").put(0).putShort(0).put(17).putShort(-1).put(-1)
+                .putShort(1).end().put('D').put(row).putShort(1).put(value));
+        Answer answer = new Answer(Arrays.copyOf(bytes, Buffers.SIZE), FORM);
+        answer.parse(bytes.length);
+        return answer;
+    }
 }
