--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -871,11 +871,11 @@
     }
 
     /**
-     * Work per time that this front sends to one store when it is busy; its share of what a store can do. The
-     * peak of late counts: what cold stores may not take must not lower what they may take next.
+     * Work per time that this front sends to a busy store, by the peak of late: what cold stores may not take
+     * must not lower what they may take next. At least its share of most of the cores of a store.
      */
     private double usualCarry() {
-        return Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), 0.5 / settings.balancers());
+        return Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), 0.6 * CORES / settings.balancers());
     }
 
     // ---- Probes, timers and the list ----
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -186,7 +186,7 @@
     /** What cold stores may take was once measured by late sends, so that little sent meant less to send. */
     @Test
     void aQuietSpellDoesNotShrinkTheColdBudget() {
-        Front f = front();
+        Front f = oneOfMany(1); // so that its share of the cores is next to nothing
         f.at(0, new ListChanged(ListMode.DELTA, 2, List.of(line(3, false, 0, Availability.GONE))));
         for (int i = 0; i < 2_000; i++) {
             f.at(5, request(i, ANY, 0), request(10_000 + i, UNSAFE, 7));
@@ -203,6 +203,21 @@
         assertTrue(sent >= 4, sent + " of 20 went to a store that is half warm and idle");
     }
 
+    /** A process that has just started has sent nothing yet: warming stores stood idle beside crowded ones for it. */
+    @Test
+    void aNewFrontUsesHalfWarmStores() {
+        Front f = front();
+        f.at(5, new ListChanged(ListMode.DELTA, 2, List.of(line(2, false, f.now - 8_000 * MS, Availability.READY),
+                line(3, false, 0, Availability.GONE))));
+        long sent = 0;
+        for (int i = 1; i <= 100; i++) {
+            long store = sentTo(f.at(20, request(i, ANY, 0)));
+            sent += store == 2 ? 1 : 0;
+            f.at(20, new Answered(i, store, 0, true, Outcome.OK, 20 * MS, Role.UNKNOWN, 0, new float[0]));
+        }
+        assertTrue(sent >= 15, sent + " of 100 went to a store that is half warm and idle");
+    }
+
     @Test
     void aStoreThatFailsFastIsEjected() {
         Front f = front();
@@ -404,9 +419,7 @@
     void manyFrontsDoNotAllSendToAColdStoreAtOnce() {
         int sent = 0;
         for (int seed = 0; seed < 100; seed++) {
-            Settings few = Front.settings(Guards.REFUSE, true);
-            Front f = new Front(new Settings(0, 100, 0, few.stepNs(), few.classes(), few.quotas(), 1, few.guards(), 0,
-                    few.zeroNs(), true, true, false, few.rules(), few.limits(), 0, 1, 2, -1, -1), seed).listed();
+            Front f = oneOfMany(seed);
             f.at(5, new ListChanged(ListMode.DELTA, 2, List.of(line(1, false, f.now, Availability.READY),
                     line(2, false, f.now, Availability.READY), line(3, false, f.now, Availability.READY))));
             sent += sends(f.at(5, request(1, ANY, 0))).size();
@@ -414,6 +427,12 @@
         assertTrue(sent < 30, sent + " of 100 fronts sent to cold stores at once");
     }
 
+    private static Front oneOfMany(long seed) {
+        Settings few = Front.settings(Guards.REFUSE, true);
+        return new Front(new Settings(0, 100, 0, few.stepNs(), few.classes(), few.quotas(), 1, few.guards(), 0,
+                few.zeroNs(), true, true, false, few.rules(), few.limits(), 0, 1, 2, -1, -1), seed).listed();
+    }
+
     @Test
     void aFailedListCallIsMadeAgain() {
         Front f = front();
