Go on from the known list, wait one's turn at discovery and back off at random: restarts hear it

At fault: Watch gave each call 1 s, made it again every 0.1 s and asked for the whole list each time. Ruled out: a longer hold, since a watch that goes on costs discovery nothing.

--- a/src/main/java/holdmux/Main.java
+++ b/src/main/java/holdmux/Main.java
@@ -78,7 +78,7 @@
         balancer.listChanged(config.known(), true);
         deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
         Workers.thread("deadlines", deadlines::run).start();
-        Watch watch = new Watch(config.discovery(), counters, list -> {
+        Watch watch = new Watch(config.discovery(), config.known(), config.seed(), counters, list -> {
             balancer.listChanged(list, false);
             ready.countDown();
         });
--- a/src/main/java/holdmux/discovery/Watch.java
+++ b/src/main/java/holdmux/discovery/Watch.java
@@ -11,17 +11,26 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
-/** Follows discovery's list for ever: the whole of it first, then changes, over one connection at a time. */
+/**
+ * Follows discovery's list for ever, over one connection at a time: what changed since the list that this program was
+ * given at its start, or the whole where there was none, then further changes. Many poolers share discovery: a call is
+ * waited for in its queue rather than made again, and failed ones are made again ever later, at random times.
+ */
 public final class Watch implements Runnable {
     /** How long one call waits. Short, because what a lost call had to tell counts as told 2 s after this. */
     static final int HOLD_MS = 2_000;
     /** Silence beyond the hold that shows a dead call: the agent is on this machine and answers at once. */
     static final int SILENCE_MS = 1_000;
     private static final int CONNECT_MS = 1_000;
-    /** Between failed tries: soon enough for any rule, seldom enough to cost nothing. */
-    private static final int AGAIN_MS = 100;
+    /** The first call of a watch may wait its turn at discovery, which is short of room when most poolers start. */
+    private static final int TURN_MS = 6_000;
+    /** The hold of the first call: a new process is not ready before it has been told. */
+    private static final int FIRST_HOLD_MS = 500;
+    /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. */
+    private static final int AGAIN_MS = 100, AGAIN_LONGEST_MS = 2_000;
     /** Failures between log lines: one line in some seconds of silence. */
     private static final int LOG_EVERY = 10;
 
@@ -31,13 +40,18 @@
     private boolean moved;
     private final Counters counters;
     private final Consumer<HostList> lists;
+    private final SplittableRandom random;
     private long seq;
-    private boolean whole = true;
+    /** Whether the whole list is to be asked for, and whether the next call begins a watch. */
+    private boolean whole, begins = true;
     private int failures;
 
-    /** {@code lists} takes each list in, in order. */
-    public Watch(InetSocketAddress agent, Counters counters, Consumer<HostList> lists) {
+    /** {@code known} is the list as it was last had, empty for none; {@code lists} takes each further one in, in order. */
+    public Watch(InetSocketAddress agent, HostList known, long seed, Counters counters, Consumer<HostList> lists) {
         this.agent = agent;
+        seq = known.seq();
+        whole = known.hosts().isEmpty();
+        random = new SplittableRandom(seed);
         calling = new Socket();
         this.counters = counters;
         this.lists = lists;
@@ -76,6 +90,7 @@
     private synchronized InetSocketAddress begin(Socket socket) {
         calling = socket;
         whole |= moved;
+        begins |= moved;
         moved = false;
         return agent;
     }
@@ -89,11 +104,11 @@
         InputStream in = new BufferedInputStream(socket.getInputStream());
         boolean open = true;
         while (open) {
-            socket.setSoTimeout((whole ? 0 : HOLD_MS) + SILENCE_MS);
+            socket.setSoTimeout(begins ? TURN_MS : HOLD_MS + SILENCE_MS);
             socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
             HttpResponse response = HttpResponse.read(in);
             if (response.status() != 200) {
-                whole = true; // our version may be one that discovery no longer knows
+                whole |= response.status() < 500; // our version may be one that discovery no longer knows
                 throw new IOException("status " + response.status());
             }
             take(HostList.decode(response.body()));
@@ -102,7 +117,7 @@
     }
 
     private String call(InetSocketAddress at) {
-        String query = whole ? "" : "?from=" + seq + "&hold_ms=" + HOLD_MS;
+        String query = whole ? "" : "?from=" + seq + "&hold_ms=" + (begins ? FIRST_HOLD_MS : HOLD_MS);
         return "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + at.getHostString() + ":" + at.getPort()
                 + "\r\nAccept: application/json\r\n\r\n";
     }
@@ -112,6 +127,7 @@
             lists.accept(list);
         }
         seq = list.seq();
+        begins = whole; // a whole list is no watch yet
         whole = false;
         if (failures > 0) {
             Log.info("discovery answers again after " + failures + " failed calls");
@@ -119,17 +135,23 @@
         }
     }
 
+    static long pauseMs(int failures, SplittableRandom random) {
+        long longest = Math.min(AGAIN_LONGEST_MS, (long) AGAIN_MS << Math.min(failures, 16));
+        return longest / 2 + random.nextLong(longest);
+    }
+
     private void failed(Exception e) {
         if (hasMoved()) {
             return; // the old agent's call was ended by us
         }
         counters.count(Counter.WATCH_FAILURES);
+        begins = true;
         whole |= e instanceof ConfigException;
         if (failures++ % LOG_EVERY == 0) {
             Log.warn("discovery does not answer: " + e.getMessage());
         }
         try {
-            Thread.sleep(AGAIN_MS);
+            Thread.sleep(pauseMs(failures, random));
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/holdmux/MainTest.java
+++ b/src/test/java/holdmux/MainTest.java
@@ -50,7 +50,7 @@
             Files.writeString(file, config(first, port));
             Process pooler = serve(folder, file, "log", freePort());
             try {
-                assertEquals("GET /v1/endpoints HTTP/1.1", answerOnce(first));
+                assertEquals("GET /v1/endpoints?from=41&hold_ms=500 HTTP/1.1", answerOnce(first));
                 Files.writeString(file, "{");
                 hangUp(pooler);
                 Thread.sleep(300); // two signals close together would count as one
--- /dev/null
+++ b/src/test/java/holdmux/discovery/WatchTest.java
@@ -0,0 +1,76 @@
+package holdmux.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.HostList;
+import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Workers;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class WatchTest {
+    private static final String HOST = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:5501\",\"site\":\"a\",\"class\":\"m\","
+            + "\"block\":0,\"health\":\"up\",\"share\":1,\"born_ms\":0}";
+
+    private static String call(ServerSocket agent, String answer) throws Exception {
+        try (Socket socket = agent.accept()) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+            String call = in.readLine();
+            socket.getOutputStream().write(("HTTP/1.1 " + answer).getBytes(StandardCharsets.UTF_8));
+            return call.replaceAll("GET /v1/endpoints(.*) HTTP/1.1", "$1");
+        }
+    }
+
+    private static String list(long seq) {
+        String body = "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + HOST + "]}";
+        return "200 OK\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** A start asks for what it missed only, and a discovery short of room is not asked for all of it for that. */
+    @Test
+    void aWatchGoesOnFromWhatIsKnown() throws Exception {
+        Counters counters = new Counters();
+        LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
+            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters,
+                    l -> taken.add(l.seq()))).start();
+            String busy = "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            assertEquals("?from=41&hold_ms=500", call(agent, busy));
+            assertEquals("?from=41&hold_ms=500", call(agent, list(43)));
+            assertEquals(43, taken.take());
+            assertEquals("?from=43&hold_ms=2000", call(agent, "404 Not Found\r\nContent-Length: 0\r\n\r\n"));
+            assertEquals("", call(agent, list(44)), "a version that is no longer known");
+            assertEquals(2, counters.get(Counter.WATCH_FAILURES));
+        }
+    }
+
+    /** Poolers that all lost discovery at one moment must not come back to it at one moment, nor ever faster. */
+    @Test
+    void failedCallsAreMadeAgainEverLaterAndAtRandom() {
+        List<Long> first = new ArrayList<>();
+        for (int seed = 0; seed < 20; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            first.add(Watch.pauseMs(1, random));
+            assertTrue(first.get(seed) >= 100 && first.get(seed) < 300);
+            long late = Watch.pauseMs(1_000_000, random);
+            assertTrue(late >= 1_000 && late < 3_000, "at most " + late);
+        }
+        assertNotEquals(1, first.stream().distinct().count());
+    }
+}
