--- a/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -22,7 +22,7 @@
     /** How long a reported queue is held to be true, in tightest aims; it drains in a few service times. */
     private static final double QUEUE_AIMS = 5.0 / 3;
     /** Probes for each request that comes in: their price stays below what stale reports cost. */
-    private static final double PROBES_PER_REQUEST = 0.5;
+    private static final double PROBES_PER_REQUEST = 0.12;
     /** Probes saved up at most, so that no burst follows a quiet spell; half is kept for what is in doubt. */
     private static final double PROBE_BURST = 16;
     /** The shortest time between probes of one store, twice that in routine: as often as reports refresh. */
@@ -169,15 +169,16 @@
         boolean done, held, accused, reached;
         Store avoid, erred;
 
-        Open(Arrived a, RequestClass type, Limits limits, Pace pace, Group group, long now, long slack) {
+        Open(Arrived a, Settings settings, Pace pace, Group group, long now) {
             id = a.id();
-            this.type = type;
-            this.limits = limits;
+            type = settings.classes().get(a.classIndex());
+            limits = settings.limits();
             this.pace = pace;
             this.group = group;
             session = a.session();
             arrived = now;
             deadline = now + a.remainingNs();
+            long slack = settings.stepNs() + MS;
             long useful = type.lateWorth() > 0 ? deadline : Math.min(deadline, now + type.onTimeNs());
             giveUpAt = useful - slack;
             long part = now + (long) (HOLD_PART * a.remainingNs()) - slack;
@@ -305,9 +306,7 @@
     private void arrived(Arrived e) {
         probeTokens = Math.min(PROBE_BURST, probeTokens + PROBES_PER_REQUEST);
         Group group = groups.computeIfAbsent(e.group(), g -> new Group());
-        RequestClass type = settings.classes().get(e.classIndex());
-        Pace pace = paces.get(e.classIndex());
-        Open o = new Open(e, type, settings.limits(), pace, group, now, settings.stepNs() + MS);
+        Open o = new Open(e, settings, paces.get(e.classIndex()), group, now);
         opens.put(o.id, o);
         probe(group);
         touched.add(group);
@@ -503,8 +502,7 @@
         if (!o.safe() || o.attempts.size() >= o.limits.maxAttempts()) {
             return left;
         }
-        double patience = PATIENCE * expected(s, o.pace);
-        return Math.min(left, (long) Math.max(patience, USEFUL_PART * (o.giveUpAt - now)));
+        return Math.min(left, (long) Math.max(PATIENCE * expected(s, o), USEFUL_PART * (o.giveUpAt - now)));
     }
 
     /** The only final answer of this module: refused where that is true, else failed. */
@@ -813,8 +811,8 @@
         return s.queue == 0 ? 0 : s.queue * Math.exp(-(now - s.queueAt) / (double) queueTime);
     }
 
-    private double expected(Store s, Pace pace) {
-        return pace.base * Math.max(1, s.ratio * (s.out + 1) / Math.max(FREE_SLOTS, s.load));
+    private double expected(Store s, Open o) {
+        return o.pace.base * Math.max(1, s.ratio * (s.out + 1) / Math.max(FREE_SLOTS, s.load));
     }
 
     /**
@@ -836,7 +834,7 @@
         boolean free = s.out == 0 || queue < 1 && s.out < 2 * FREE_SLOTS;
         double b = o.pace.base;
         double wait = queue * b / CORES;
-        return free ? wait + b <= left : wait + expected(s, o.pace) <= FIT_IN * left;
+        return free ? wait + b <= left : wait + expected(s, o) <= FIT_IN * left;
     }
 
     /** Most of a group looks ill: the load or this front is to blame, and ejecting would only add to it. */
@@ -893,17 +891,21 @@
         }
     }
 
-    /** Probes follow requests: all members of a group that has no leader, else the one longest unseen. */
+    /** Probes follow requests: each in turn of a group that has no leader, and the one longest unseen. */
     private void probe(Group g) {
         boolean lost = g.leader == null || g.leader.ill || !g.leader.listed();
         Store stalest = null;
+        Store doubtful = null;
         for (Store s : g.members) {
             if ((lost || s.ill || !s.proven) && s.nextTrial <= now) {
-                inspect(s);
+                doubtful = doubtful == null || s.probedAt < doubtful.probedAt ? s : doubtful;
             } else if (s.listed() && !s.probing && (stalest == null || s.seenAt() < stalest.seenAt())) {
                 stalest = s;
             }
         }
+        if (doubtful != null) {
+            inspect(doubtful);
+        }
         boolean worth = stalest != null && now - stalest.seenAt() >= 2 * PROBE_GAP_NS;
         if (worth && probeTokens > PROBE_BURST / 2) {
             inspect(stalest);
@@ -933,6 +935,7 @@
             s.proven = true;
             s.cut = false;
             s.probedWellAt = now;
+            reported(s, e.report());
         } else if (e.outcome() == Outcome.RESET) {
             broke(s);
         } else if (e.outcome() != Outcome.FULL && s.answeredAt < s.probedAt && s.probedAt > stalledAt) {
@@ -940,9 +943,6 @@
             s.down |= e.outcome() != Outcome.ERROR;
             s.cut |= e.outcome() == Outcome.CONNECT_FAILED;
         }
-        if (e.outcome() == Outcome.OK) {
-            reported(s, e.report());
-        }
     }
 
     /** What a load report says; one that is not whole or is ahead of time says nothing. */
--- a/src/test/java/holdmux/decision/DefencesTest.java
+++ b/src/test/java/holdmux/decision/DefencesTest.java
@@ -16,7 +16,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.decision.SplitterApi.*;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class DefencesTest {
@@ -203,6 +205,24 @@
         assertTrue(sent >= 4, sent + " of 20 went to a store that is half warm and idle");
     }
 
+    /** Short of probes, the first members of a group without a leader took them all, and its leader stayed unknown. */
+    @Test
+    void aGroupWithoutALeaderIsProbedInTurn() {
+        Front f = new Front(settings(Guards.OFF, true), 5);
+        f.at(0, new ListChanged(ListMode.CACHED, 1, List.of(line(1, false, 0, Availability.READY),
+                line(2, false, 0, Availability.READY), line(3, false, 0, Availability.READY))));
+        Map<Long, Integer> probed = new HashMap<>();
+        for (int i = 1; i <= 400; i++) {
+            List<Action> out = f.at(20, request(i, UNSAFE, 7), new ClientLeft(i - 1));
+            out.stream().filter(Inspect.class::isInstance).map(a -> ((Inspect) a).store()).forEach(store -> {
+                probed.merge(store, 1, Integer::sum);
+                f.at(1, f.probe(store, 10, false));
+            });
+        }
+        int all = probed.values().stream().mapToInt(Integer::intValue).sum();
+        assertTrue(probed.getOrDefault(3L, 0) >= all / 4, "the last of three got " + probed);
+    }
+
     /** A process that has just started has sent nothing yet: warming stores stood idle beside crowded ones for it. */
     @Test
     void aNewFrontUsesHalfWarmStores() {
