--- a/src/main/java/holdmux/pg/Clients.java
+++ b/src/main/java/holdmux/pg/Clients.java
@@ -17,15 +17,16 @@
 final class Clients {
     /** A connection may be closed once it has rested this long: the platform's figure, and some for its clock. */
     private static final long REST_NS = 2_050 * Clock.MS;
-    /** Beyond half the cap a crowd is on, and whoever rests longest goes after this: several times the way there and
-     * back, so that a client about to ask again is not cut off. */
-    private static final long CROWD_REST_NS = 100 * Clock.MS;
+    /** Beyond half the cap a crowd is on: whoever has asked once and rests goes after this, several times the way there
+     * and back; who has come back before is spared for longer, since its new connection would cost more than this frees. */
+    private static final long CROWD_REST_NS = 100 * Clock.MS, REGULAR_REST_NS = 500 * Clock.MS;
     /** How often that is looked after. */
     private static final long SWEEP_NS = 50 * Clock.MS;
     /** Part of the cap that may rest in peace: clients that ask now and then need not connect anew. */
     private static final int REST_PART = 4;
-    /** Clients hold at most two thirds of the cap for requests. */
-    private static final int CROWD_PART = 2;
+    /** Parts in 100 of the cap from where a crowd is on, and from where nobody is spared; clients hold at most 66 for
+     * requests. */
+    private static final int CROWD_PART = 50, FULL_PART = 60;
     /** Clients are sent away this long after the order: the front asks ten times a second and stops 0.2 s after a no,
      * and who is sent away sooner only comes here again. */
     private static final long AWAY_NS = 400 * Clock.MS;
@@ -41,9 +42,11 @@
     private final Clock clock;
     /** All that are open, at most {@link #most()}. */
     private final Set<ClientSession> open = new HashSet<>();
-    /** Those that have asked nothing well-formed yet, with when they came, and those at rest since their last answer;
-     * oldest first. */
-    private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), resting = new LinkedHashMap<>();
+    /** Those that have asked nothing well-formed yet, with when they came, those at rest since their first answer, and
+     * those at rest that had come back before, each oldest first; and all that ever came back. */
+    private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), once = new LinkedHashMap<>(),
+            resting = new LinkedHashMap<>();
+    private final Set<ClientSession> regular = new HashSet<>();
 
     Clients(int cap, Shared shared, Clock clock, Deadlines deadlines) {
         this.cap = cap;
@@ -71,13 +74,19 @@
         }
         if (isAway() && sendsAway()) {
             List.copyOf(resting.keySet()).forEach(ClientSession::closeAtRest);
+            List.copyOf(once.keySet()).forEach(ClientSession::closeAtRest);
             closeOldest(silent, clock.now() - AWAY_NS, open.size());
             return;
         }
-        long before = clock.now() - REST_NS;
-        closeOldest(resting, before, open.size() - most() / REST_PART);
-        closeOldest(resting, clock.now() - CROWD_REST_NS, open.size() - most() / CROWD_PART);
-        closeOldest(silent, before, open.size() - most() / REST_PART);
+        long now = clock.now();
+        int over = open.size() - most() / REST_PART;
+        over -= closeOldest(once, now - REST_NS, over);
+        over -= closeOldest(resting, now - REST_NS, over);
+        closeOldest(silent, now - REST_NS, over);
+        int crowd = open.size() - most() * CROWD_PART / 100;
+        crowd -= closeOldest(once, now - CROWD_REST_NS, crowd);
+        closeOldest(resting, now - REGULAR_REST_NS, crowd);
+        closeOldest(resting, now - CROWD_REST_NS, open.size() - most() * FULL_PART / 100);
     }
 
     /** Takes in a new connection, for which others may be closed; false if there is no room. */
@@ -96,27 +105,35 @@
         return true;
     }
 
-    private static void closeOldest(Map<ClientSession, Long> of, long before, int count) {
-        of.entrySet().stream().limit(Math.max(0, count)).takeWhile(e -> e.getValue() <= before).map(Map.Entry::getKey)
-                .toList().forEach(ClientSession::closeAtRest);
+    /** How many it closed, at most so many. */
+    private static int closeOldest(Map<ClientSession, Long> of, long before, int most) {
+        List<ClientSession> oldest = of.entrySet().stream().limit(Math.max(0, most))
+                .takeWhile(e -> e.getValue() <= before).map(Map.Entry::getKey).toList();
+        oldest.forEach(ClientSession::closeAtRest);
+        return oldest.size();
     }
 
     synchronized void works(ClientSession session) {
         silent.remove(session);
-        resting.remove(session);
+        if (once.remove(session) != null || resting.remove(session) != null) {
+            regular.add(session);
+        }
     }
 
     synchronized void rests(ClientSession session) {
         if (open.contains(session) && !silent.containsKey(session)) {
-            resting.remove(session);
-            resting.put(session, clock.now());
+            Map<ClientSession, Long> among = regular.contains(session) ? resting : once;
+            among.remove(session);
+            among.put(session, clock.now());
         }
     }
 
     synchronized void gone(ClientSession session) {
         open.remove(session);
         silent.remove(session);
+        once.remove(session);
         resting.remove(session);
+        regular.remove(session);
     }
 
     /** Sends clients away from now on, or no longer; a repeated order changes nothing. */
