--- a/src/main/java/holdmux/pg/Listener.java
+++ b/src/main/java/holdmux/pg/Listener.java
@@ -3,7 +3,6 @@
 import holdmux.core.Clock;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
-import holdmux.core.Workers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -11,6 +10,8 @@
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /** Accepts clients; at the cap each further one is refused at once. */
@@ -27,9 +28,12 @@
     private final InetSocketAddress address;
     private final ClientSession.Context context;
     private final CountDownLatch closed = new CountDownLatch(1);
+    private final Executor threads;
     private volatile boolean stopping;
 
-    Listener(InetSocketAddress address, ClientSession.Context context) throws IOException {
+    /** {@code threads} read from clients, one each; kept for the next, since in a crowd most stay a moment only. */
+    Listener(InetSocketAddress address, ClientSession.Context context, Executor threads) throws IOException {
+        this.threads = threads;
         this.address = address;
         this.context = context;
         server.setReuseAddress(true);
@@ -77,8 +81,8 @@
         }
         context.counters().count(Counter.CLIENTS_ACCEPTED);
         try {
-            Workers.thread("client", session).start();
-        } catch (OutOfMemoryError e) {
+            threads.execute(session);
+        } catch (RejectedExecutionException e) {
             // no thread to be had: this client is turned away, the others stay
             context.clients().gone(session);
             turnAway(socket);
--- a/src/main/java/holdmux/pg/PgFront.java
+++ b/src/main/java/holdmux/pg/PgFront.java
@@ -16,6 +16,9 @@
 
 /** The PostgreSQL front end: its listener, its clients and its connections to servers. */
 public final class PgFront {
+    /** Threads beyond the cap of clients: those that have just left, and are not done yet. */
+    private static final int CLOSING = 16;
+
     private final Listener listener;
     private final ServerPool servers;
     private final Clients clients;
@@ -33,7 +36,7 @@
         clients = new Clients(caps.clients(), shared, clock, deadlines);
         listener = new Listener(config.listen(), new ClientSession.Context(balancer, fleet,
                 servers, new Buffers(caps.queryBytes(), Statement.MOST, shared::present), clock, deadlines, counters, workers, ready,
-                clients));
+                clients), new Workers(caps.clients() + CLOSING));
     }
 
     /** From now on who connects waits in the kernel for {@link #run}. */
