--- a/pooler/src/main/java/holdmux/Main.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -17,7 +17,6 @@
 import holdmux.management.Operations;
 import holdmux.management.StateFile;
 import holdmux.pg.PgFront;
-import holdmux.simhost.SimHost;
 import holdmux.upgrade.Upgrade;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -26,8 +25,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 
-/** Starts the pooler ({@code serve}) or the simulator's adapter ({@code simhost}). */
-public final class Main {
+/** One pooler as a process: wiring, signals and the drain. */
+public final class Serve {
     /** Readiness does not wait longer for discovery: the cached list serves when the agent is down. */
     private static final long DISCOVERY_MS = 1_000;
     /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
@@ -42,25 +41,24 @@
     /** The counters go to the log once a minute, as is usual for poolers. */
     private static final long REPORT_MS = 60_000;
 
-    private Main() {}
+    private Serve() {}
 
-    public static void main(String[] args) throws IOException {
-        String command = args.length == 1 ? args[0] : "";
-        if (command.equals("simhost")) {
-            System.exit(SimHost.run());
-        } else if (command.equals("serve")) {
-            try {
-                serve();
-            } catch (ConfigException e) {
-                System.err.println("holdmux: " + e.getMessage());
-                System.exit(1);
-            }
-        } else {
-            System.err.println("usage: java -jar holdmux.jar serve|simhost");
-            System.exit(2);
+    /** Serves until the process is told to end; the exit code where it could not begin. */
+    public static int run() throws IOException {
+        try {
+            serve();
+            return 0;
+        } catch (ConfigException e) {
+            System.err.println("holdmux: " + e.getMessage());
+            return 1;
         }
     }
 
+    /** {@code holdmux.Serve}: the pooler alone, as the tests of its process start it. */
+    public static void main(String[] args) throws IOException {
+        System.exit(run());
+    }
+
     private static void serve() throws IOException {
         Semaphore hangUps = new Semaphore(0);
         // before anything else: unhandled, this signal ends a virtual machine
--- a/pooler/src/test/java/holdmux/MainTest.java
+++ b/pooler/src/test/java/holdmux/ServeTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program as a process of its own: what signals do to it. */
-class MainTest {
+class ServeTest {
     private static ServerSocket agent() throws IOException {
         return new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
     }
@@ -76,7 +76,7 @@
 
     private static Process serve(Path folder, Path file, String log, int management) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "holdmux.Main", "serve");
+                "-cp", System.getProperty("java.class.path"), "holdmux.Serve");
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.environment().put("BALANCER_MANAGEMENT", "127.0.0.1:" + management);
         builder.environment().put("TMPDIR", folder.toString());
