--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -3,6 +3,7 @@
 import holdmux.Serve;
 import holdmux.simhost.SimHost;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -37,7 +38,7 @@
     static final class ServeCommand implements Callable<Integer> {
         @Override
         public Integer call() throws IOException {
-            return Serve.run();
+            return Serve.run(List.of());
         }
     }
 
--- a/app/src/main/java/holdmux/app/Main.java
+++ b/app/src/main/java/holdmux/app/Main.java
@@ -3,6 +3,7 @@
 import holdmux.Serve;
 import holdmux.simhost.SimHost;
 import java.io.IOException;
+import java.util.List;
 
 /**
  * The program's entry. The platform starts {@code serve} and {@code simhost} with nothing behind them; these two go
@@ -13,7 +14,7 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Serve.run());
+            System.exit(Serve.run(List.of()));
         } else if (args.length == 1 && args[0].equals("simhost")) {
             System.exit(SimHost.run());
         }
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -2,14 +2,19 @@
 
 import holdmux.config.Config;
 import holdmux.config.ConfigException;
+import holdmux.core.Admission;
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
+import holdmux.core.Fronts;
 import holdmux.core.Log;
+import holdmux.core.Part;
+import holdmux.core.Services;
 import holdmux.core.Shared;
+import holdmux.core.Upstreams;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
@@ -17,9 +22,11 @@
 import holdmux.management.Operations;
 import holdmux.management.StateFile;
 import holdmux.pg.PgFront;
+import holdmux.pg.PgUpstream;
 import holdmux.upgrade.Upgrade;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicReference;
@@ -44,9 +51,9 @@
     private Serve() {}
 
     /** Serves until the process is told to end; the exit code where it could not begin. */
-    public static int run() throws IOException {
+    public static int run(List<Part> parts) throws IOException {
         try {
-            serve();
+            serve(parts);
             return 0;
         } catch (ConfigException e) {
             System.err.println("holdmux: " + e.getMessage());
@@ -56,10 +63,10 @@
 
     /** {@code holdmux.Serve}: the pooler alone, as the tests of its process start it. */
     public static void main(String[] args) throws IOException {
-        System.exit(run());
+        System.exit(run(List.of()));
     }
 
-    private static void serve() throws IOException {
+    private static void serve(List<Part> parts) throws IOException {
         Semaphore hangUps = new Semaphore(0);
         // before anything else: unhandled, this signal ends a virtual machine
         Signal.handle(new Signal("HUP"), signal -> hangUps.release());
@@ -72,7 +79,18 @@
         Balancer balancer = new Balancer(config.deployment(), config.seed(), clock, deadlines, counters, fleet, workers);
         CountDownLatch ready = new CountDownLatch(1);
         Shared shared = new Shared();
-        PgFront front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, shared, ready);
+        Services services = new Services(config, balancer, new Admission(balancer::deployment, fleet), fleet, clock,
+                deadlines, counters, workers, shared);
+        Upstreams upstreams = new Upstreams(fleet, new PgUpstream(config.caps(), fleet, clock, deadlines, counters,
+                balancer::deployment, shared));
+        for (Part part : parts) {
+            if (!part.kinds().isEmpty()) {
+                upstreams.add(part.kinds(), part.upstream(services));
+            }
+        }
+        balancer.connect(upstreams::of);
+        PgFront front = new PgFront(services, ready);
+        Fronts fronts = Fronts.of(front, parts, services);
         balancer.listChanged(config.known(), true);
         deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
         Workers.thread("deadlines", deadlines::run).start();
@@ -86,19 +104,19 @@
         Path folder = System.getenv("TMPDIR") == null ? null : Path.of(System.getenv("TMPDIR"));
         AtomicReference<Upgrade> upgrade = new AtomicReference<>();
         Operations operations = new Operations(new StateFile(folder), fleet::lists,
-                () -> ready.getCount() == 0 && front.isServing(), orders -> {
+                () -> ready.getCount() == 0 && fronts.isServing(), orders -> {
                     balancer.leaveOut(orders.excluded());
-                    front.sendAway(orders.evacuated());
+                    fronts.sendAway(orders.evacuated());
                 }, () -> upgrade.get().ordersChanged(), () -> clock.now() / Clock.MS);
         upgrade.set(new Upgrade(folder, new Upgrade.Local(balancer::writes, balancer::written, operations::refresh,
-                front::openClients, front::serverConnections), shared, deadlines, counters));
+                fronts::openClients, upstreams::held), shared, deadlines, counters));
         balancer.tellWritesTo(upgrade.get());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front, balancer, upgrade.get(), counters), "drain"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(fronts, balancer, upgrade.get(), counters), "drain"));
         boolean takesOver = upgrade.get().join();
         if (config.management() != null) {
             Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
         }
-        start(front, takesOver ? upgrade.get() : null, ready);
+        start(front, fronts, takesOver ? upgrade.get() : null, ready);
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         upgrade.get().serves();
         front.run();
@@ -108,9 +126,9 @@
      * A process that starts alone listens first, so that who comes waits; beside an older one, which serves meanwhile,
      * it listens last. Null for no older one.
      */
-    private static void start(PgFront front, Upgrade older, CountDownLatch ready) throws IOException {
+    private static void start(PgFront front, Fronts fronts, Upgrade older, CountDownLatch ready) throws IOException {
         if (older == null) {
-            front.listen();
+            fronts.listen();
         }
         front.warmUp();
         if (older != null) {
@@ -120,7 +138,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            front.listen();
+            fronts.listen();
         }
     }
 
@@ -159,28 +177,28 @@
      * SIGTERM: goes on accepting for a while and serving the connections there are for as long as it may live, since
      * their clients would find no other pooler sooner; takes nothing that it could not answer by then.
      */
-    private static void drain(PgFront front, Balancer balancer, Upgrade upgrade, Counters counters) {
+    private static void drain(Fronts fronts, Balancer balancer, Upgrade upgrade, Counters counters) {
         try {
             Log.info("draining");
             long longest = balancer.deployment().settings().classes().stream()
                     .mapToLong(RequestClass::deadlineNs).max().orElse(0) / Clock.MS;
             long end = KILL_MS + Math.min(LONGEST_MS, longest) - EXIT_MS;
             long start = System.nanoTime();
-            front.endAfter(end * Clock.MS);
+            fronts.endAfter(end * Clock.MS);
             if (upgrade.otherServes()) {
-                front.handOver();
+                fronts.handOver();
             } else {
                 Thread.sleep(ACCEPT_MS);
             }
-            front.stopAccepting();
-            for (long past = 0; front.openClients() > 0 && past < end;
+            fronts.stopAccepting();
+            for (long past = 0; fronts.openClients() > 0 && past < end;
                     past = (System.nanoTime() - start) / Clock.MS) {
                 if (past >= end - CLOSE_MS) {
-                    front.closeWhenIdle();
+                    fronts.closeWhenIdle();
                 }
                 Thread.sleep(LOOK_MS);
             }
-            Log.info("ends with " + front.openClients() + " clients; " + counters);
+            Log.info("ends with " + fronts.openClients() + " clients; " + counters);
         } catch (InterruptedException e) {
             Log.error("the drain was cut short", e);
         }
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -3,6 +3,7 @@
 import holdmux.config.Deployment;
 import holdmux.config.HostList;
 import holdmux.core.Counters.Counter;
+import holdmux.core.Upstream.Attempted;
 import holdmux.decision.ReadWriteSplitter;
 import holdmux.decision.SplitterApi.Action;
 import holdmux.decision.SplitterApi.Answered;
@@ -25,6 +26,7 @@
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
 import holdmux.decision.SplitterApi.Written;
+import holdmux.statement.Statement;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
@@ -32,11 +34,11 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.ReentrantLock;
-import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
 
 /**
- * The decision module behind one lock: events go in as they come, actions go to whom they concern. Knows neither
- * PostgreSQL nor sockets; front ends reach it through {@link Exchange} and {@link Prober}.
+ * The decision module behind one lock: events go in as they come, actions go to whom they concern. Knows no protocol and
+ * no sockets: a front takes requests and is a {@link Client} of each, an {@link Upstream} carries attempts out.
  */
 public final class Balancer {
     private final Clock clock;
@@ -48,9 +50,8 @@
     private final ReadWriteSplitter module;
     private volatile Deployment deployment;
     private final Map<Long, Request> open = new HashMap<>();
-    private Prober prober;
+    private LongFunction<Upstream> upstreams;
     private WriteLog writeLog = write -> { };
-    private LongConsumer closeIdle;
     private long lastId;
 
     public Balancer(Deployment deployment, long seed, Clock clock, Deadlines deadlines,
@@ -64,10 +65,9 @@
         module = new ReadWriteSplitter(deployment.settings(), seed);
     }
 
-    /** Names those who carry out probes and idle closes; before the first list. */
-    public void connect(Prober prober, LongConsumer closeIdle) {
-        this.prober = prober;
-        this.closeIdle = closeIdle;
+    /** Names who reaches each server; before the first list. */
+    public void connect(LongFunction<Upstream> upstreams) {
+        this.upstreams = upstreams;
     }
 
     public void listChanged(HostList list, boolean cached) {
@@ -129,7 +129,7 @@
             ListChanged change = fleet.leaveOut(servers, clock.now() / Clock.MS);
             feed(change);
             change.lines().stream().filter(line -> line.availability() == Availability.DRAINING)
-                    .forEach(line -> closeIdle.accept(line.store()));
+                    .forEach(line -> closeIdle(line.store()));
         } finally {
             lock.unlock();
         }
@@ -152,7 +152,7 @@
      * The life of one request, from its arrival to its one final answer: the module is told of it, its sends are
      * carried out one at a time (it never has two out), and their outcomes go back before the client sees anything.
      */
-    public void life(Request request, Exchange exchange) {
+    public void life(Request request, Statement statement, Client client) {
         try {
             arrived(request);
             while (true) {
@@ -161,22 +161,21 @@
                     Attempt attempt = send.attempt();
                     Deadlines.Deadline timeOut = deadlines.at(attempt.startedAt + attempt.limitNs,
                             () -> attempt.cut(Outcome.TIMEOUT));
-                    Reply reply = carryOut(exchange, attempt);
+                    Attempted attempted = carryOut(attempt, statement, client);
                     deadlines.cancel(timeOut);
-                    answered(request, attempt, reply);
-                    if (reply.outcome() == Outcome.OK) {
-                        tellWrite(request.call, reply);
-                        counters.count(Counter.SERVED);
-                        exchange.serve();
+                    answered(request, attempt, attempted.reply());
+                    if (attempted.reply().outcome() == Outcome.OK) {
+                        tellWrite(request.call, attempted.reply());
+                        pass(attempted.value(), client);
                         return;
                     }
                 } else if (step instanceof Request.End end && end.answer() instanceof Decline decline) {
                     counters.count(Counter.REFUSED);
-                    exchange.refuse(decline.waitNs());
+                    client.refuse(decline.waitNs());
                     return;
                 } else if (step instanceof Request.End) {
                     counters.count(Counter.FAILED);
-                    exchange.fail();
+                    client.fail();
                     return;
                 } else {
                     counters.count(Counter.CLIENTS_LEFT);
@@ -192,6 +191,20 @@
         }
     }
 
+    /** The final answer of a request that has run: its value, or that it cannot be told. */
+    private void pass(Value value, Client client) throws IOException {
+        if (value == null) {
+            counters.count(Counter.VALUES_UNFIT);
+            counters.count(Counter.FAILED);
+            client.fail();
+            return;
+        }
+        try (value) {
+            counters.count(Counter.SERVED);
+            client.serve(value);
+        }
+    }
+
     private void arrived(Request request) {
         Request.Call call = request.call;
         lock.lock();
@@ -252,13 +265,13 @@
     }
 
     /** Carries out an attempt; a fault of ours on the way is the attempt's, not the program's. */
-    private Reply carryOut(Exchange exchange, Attempt attempt) {
+    private Attempted carryOut(Attempt attempt, Statement statement, Client client) {
         try {
-            return exchange.attempt(attempt);
+            return upstreams.apply(attempt.store).attempt(attempt, statement, client.form());
         } catch (RuntimeException e) {
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("an attempt failed here", e);
-            return Reply.of(attempt.broken());
+            return new Attempted(Reply.of(attempt.broken()), null);
         }
     }
 
@@ -322,13 +335,17 @@
         } else if (action instanceof Inspect i) {
             inspect(i.store());
         } else if (action instanceof CloseIdle c) {
-            closeIdle.accept(c.store());
+            closeIdle(c.store());
         } else if (action instanceof Remark r) {
             Log.info("module: " + r.words());
         }
         // Subscribe and ListAll: the watch runs from the start and needs no asking. MemoTo: there are no peers.
     }
 
+    private void closeIdle(long store) {
+        upstreams.apply(store).closeIdle(store);
+    }
+
     private void transmit(Transmit t) {
         Request request = open.get(t.id());
         Attempt attempt = new Attempt(t.store(), request.attempts.size(), clock.now(), t.limitNs());
@@ -361,7 +378,7 @@
                 () -> attempt.cut(Outcome.TIMEOUT));
         Reply reply = Reply.of(Outcome.ERROR);
         try {
-            reply = prober.probe(attempt);
+            reply = upstreams.apply(attempt.store).probe(attempt);
         } catch (RuntimeException e) {
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("a probe failed here", e);
--- a/pooler/src/main/java/holdmux/core/Fleet.java
+++ b/pooler/src/main/java/holdmux/core/Fleet.java
@@ -50,6 +50,12 @@
         return names.get(store);
     }
 
+    /** The kind of server that discovery's entry names; null for one that is gone. */
+    public synchronized String kind(long store) {
+        Host host = told.get(names.get(store));
+        return host == null ? null : host.kind();
+    }
+
     /** Whether discovery lists a server of this name. */
     public synchronized boolean lists(String name) {
         return told.containsKey(name);
--- a/pooler/src/main/java/holdmux/pg/Answer.java
+++ b/pooler/src/main/java/holdmux/pg/Answer.java
@@ -1,13 +1,13 @@
 package holdmux.pg;
 
 import holdmux.core.Reply;
+import holdmux.core.ServerStatus;
 import holdmux.decision.SplitterApi.Outcome;
-import holdmux.decision.SplitterApi.Role;
+import holdmux.statement.SqlState;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 
 /**
  * Parses a server's answer as its bytes come in, up to ReadyForQuery. The messages of a served answer (RowDescription,
@@ -15,7 +15,6 @@
  * is only begun here: it passes through in pieces, and what stands behind it is parsed after that.
  */
 final class Answer {
-    private static final long NS_PER_MS = 1_000_000L;
     private static final int NONE = -1;
     /** Values above this stream, up to the longest there may be; some room for the messages round them. */
     private static final int WHOLE_VALUE = 64 * 1024, MOST_VALUE = 4 * 1024 * 1024 + 1_024;
@@ -23,12 +22,8 @@
     private static final int ROW_HEAD = Short.BYTES + Integer.BYTES;
     private static final byte[] READY = {'Z', 0, 0, 0, 5, 'I'};
 
-    /** How answers are to be read: the fields of reports, and where positions in reports count from. */
-    record Form(List<String> reportFields, long zeroNs) {}
-
     final byte[] buffer;
-    private final List<String> reportFields;
-    private final long zeroNs;
+    private final ServerStatus status;
     private int parsed;
     private int rowFrom = NONE, rowTo = NONE, valueFrom, valueLength = NONE;
     private int rows, completeFrom;
@@ -37,14 +32,10 @@
     private int begunTo, filled;
     private long toCome = NONE;
     private String sqlState;
-    private Role role = Role.UNKNOWN;
-    private long positionNs;
-    private float[] report = Reply.NO_REPORT;
 
-    Answer(byte[] buffer, Form form) {
+    Answer(byte[] buffer, ServerStatus.Form form) {
         this.buffer = buffer;
-        reportFields = form.reportFields();
-        zeroNs = form.zeroNs();
+        status = new ServerStatus(form);
     }
 
     /** Parses what is whole of the buffer's first {@code length} bytes; true once ReadyForQuery or a long row has come. */
@@ -79,6 +70,8 @@
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a column does not fill its row");
         }
         rows = 1;
+        valueFrom = parsed + Message.HEAD + ROW_HEAD;
+        valueLength = size - Integer.BYTES - ROW_HEAD;
         filled = length;
         begunTo = Math.min(length, parsed + 1 + size);
         toCome = parsed + 1 + size - begunTo;
@@ -94,9 +87,10 @@
         return toCome;
     }
 
-    /** Writes what has come of a long row, and all that stands before it; what has come behind it is parsed next. */
-    int beginTo(OutputStream out) throws IOException {
-        out.write(buffer, rowFrom, begunTo - rowFrom);
+    /** Writes what has come of a long row, or of its value alone; what has come behind it is parsed next. */
+    int beginTo(OutputStream out, boolean messages) throws IOException {
+        int from = messages ? rowFrom : valueFrom;
+        out.write(buffer, from, begunTo - from);
         int behind = filled - begunTo;
         System.arraycopy(buffer, begunTo, buffer, 0, behind);
         toCome = NONE;
@@ -171,54 +165,7 @@
         int nameEnd = zero(from, to);
         String name = text(from, nameEnd);
         String value = text(Math.min(nameEnd + 1, to), zero(nameEnd + 1, to));
-        switch (name) {
-            case "replication_role" -> role = value.equals("primary") ? Role.PRIMARY
-                    : value.equals("standby") ? Role.REPLICA : Role.UNKNOWN;
-            case "log_position" -> positionNs = positionNs(value);
-            case "pressure" -> report = report(value);
-            default -> { }
-        }
-    }
-
-    private static long positionNs(String value) {
-        try {
-            long ms = Long.parseLong(value);
-            return ms > 0 && ms < Long.MAX_VALUE / NS_PER_MS ? ms * NS_PER_MS : 0;
-        } catch (NumberFormatException e) {
-            return 0; // a position that cannot be read is one that was not told
-        }
-    }
-
-    /** Values in the order of the settings' fields; a report that lacks one or cannot be read was not told. */
-    private float[] report(String value) {
-        float[] values = new float[reportFields.size()];
-        int found = 0;
-        for (String pair : value.split(",")) {
-            int equals = pair.indexOf('=');
-            int field = equals < 0 ? NONE : field(pair.substring(0, equals).strip());
-            if (field >= 0) {
-                try {
-                    double figure = Double.parseDouble(pair.substring(equals + 1));
-                    if (!Double.isFinite(figure) || figure < 0) {
-                        return Reply.NO_REPORT;
-                    }
-                    values[field] = (float) (reportFields.get(field).equals("x0") ? figure - zeroNs / 1e9 : figure);
-                    found++;
-                } catch (NumberFormatException e) {
-                    return Reply.NO_REPORT;
-                }
-            }
-        }
-        return found == values.length ? values : Reply.NO_REPORT;
-    }
-
-    /** The settings have names of their own for two of the fields that a report carries. */
-    private int field(String name) {
-        return reportFields.indexOf(switch (name) {
-            case "inflight" -> "outstanding";
-            case "util" -> "utilization";
-            default -> name;
-        });
+        status.put(name, value);
     }
 
     private int zero(int from, int to) {
@@ -233,6 +180,22 @@
         return from >= to ? "" : new String(buffer, from, to - from, StandardCharsets.UTF_8);
     }
 
+    /** The one column's name, as RowDescription told it. */
+    String column() {
+        int from = rowFrom + Message.HEAD + Short.BYTES;
+        return text(from, zero(from, buffer.length));
+    }
+
+    /** How long the row's value is; -1 for null. */
+    int valueLength() {
+        return valueLength;
+    }
+
+    /** Writes the value of a row that came whole. */
+    void writeValueTo(OutputStream out) throws IOException {
+        out.write(buffer, valueFrom, Math.max(0, valueLength));
+    }
+
     /** Whether the answer came to its end and nothing behind it, so that its connection is free for the next request. */
     boolean whole() {
         return ready && !surplus;
@@ -254,13 +217,14 @@
             case SqlState.TOO_MANY_CONNECTIONS -> Outcome.FULL;
             default -> Outcome.ERROR;
         };
-        return new Reply(outcome, role, positionNs, report);
+        return status.reply(outcome);
     }
 
     /** What the answer to SHOW pressure means: the report is the row's value. */
     Reply probeReply() {
         if (served() && valueLength >= 0) {
-            return new Reply(Outcome.OK, role, positionNs, report(text(valueFrom, valueFrom + valueLength)));
+            status.put(ServerStatus.REPORT, text(valueFrom, valueFrom + valueLength));
+            return status.reply(Outcome.OK);
         }
         boolean busy = SqlState.TOO_MANY_CONNECTIONS.equals(sqlState) || SqlState.CANNOT_CONNECT_NOW.equals(sqlState);
         return Reply.of(busy ? Outcome.FULL : Outcome.ERROR);
--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -1,6 +1,7 @@
 package holdmux.pg;
 
 import holdmux.core.Clock;
+import holdmux.statement.SqlState;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -1,23 +1,23 @@
 package holdmux.pg;
 
-import holdmux.config.Deployment;
-import holdmux.core.Attempt;
+import holdmux.core.Admission;
 import holdmux.core.Balancer;
+import holdmux.core.Cell;
+import holdmux.core.Client;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
-import holdmux.core.Exchange;
-import holdmux.core.Fleet;
 import holdmux.core.Log;
-import holdmux.core.Reply;
 import holdmux.core.Request;
-import holdmux.decision.SplitterApi.Consistency;
-import holdmux.decision.SplitterApi.Outcome;
-import holdmux.decision.SplitterApi.RequestClass;
+import holdmux.core.Value;
+import holdmux.statement.Buffers;
+import holdmux.statement.SqlState;
+import holdmux.statement.Statement;
+import holdmux.statement.StatementException;
+import holdmux.statement.Text;
 import java.io.IOException;
 import java.io.InterruptedIOException;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -27,7 +27,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.function.Consumer;
 
 /**
  * One client connection. Its thread only reads, so that it sees a client that leaves; what came whole is answered in
@@ -35,7 +34,7 @@
  */
 final class ClientSession implements Runnable {
     /** What all sessions share. */
-    record Context(Balancer balancer, Fleet fleet, ServerPool servers, Buffers buffers,
+    record Context(Balancer balancer, Admission admission, Buffers buffers,
             Clock clock, Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
             Clients clients) {}
 
@@ -54,10 +53,6 @@
     private static final int MOST_STARTUP = 10_000;
     /** Longer queries go to a buffer of the pool; a usual one of 1 KiB in hexadecimal is shorter. */
     private static final int SHORT = 4_096;
-    /** Holds any of our own messages, of which the counters are the longest. */
-    private static final int OWN_MESSAGES = 4_096;
-    /** PostgreSQL's type of plain text. */
-    private static final int TEXT_TYPE = 25;
     /** Bad inputs for each line of the log. */
     private static final int LOG_EVERY = 100;
     /** A client may take 2 s for the head of a message or pause so long within it; what hangs is owed an end within
@@ -65,20 +60,14 @@
     private static final int PAUSE_MS = 2_600;
     /** Whatever its pauses, a message must come at this pace after a start: who drips holds buffers for good. */
     private static final int DRIP_MS = 10_000, DRIP_BYTES_PER_MS = 16;
-    /** A client must take a piece of its answer within this; then it is cut off, and the thread goes free. */
-    private static final int TAKE_MS = 5_000;
-    private static final int PIECE = 16 * 1024;
     /** Commands that may wait on one connection behind the one that is answered, and bytes of them that are read
      * ahead. Drivers that pipeline send a few; the caps of all clients together are a few MiB. */
     private static final int MOST_AHEAD = 32, BYTES_AHEAD = 8_192;
-    /** How long the request is on its way to us, at most in the deployments so far: d counts from its send. */
-    private static final long UNDERWAY_MS = 2;
-
     private final Socket socket;
     private final Context context;
     private final Counters counters;
     private final ClientInput in;
-    private final OutputStream out;
+    private final ClientOutput out;
     /** All under this object's monitor. What waits to be answered, at most MOST_AHEAD turns. */
     private final ArrayDeque<Turn> ahead = new ArrayDeque<>(2);
     private int bytesAhead;
@@ -94,7 +83,7 @@
         this.context = context;
         counters = context.counters();
         in = new ClientInput(socket, context.clock());
-        out = new Pieces(socket.getOutputStream());
+        out = new ClientOutput(socket.getOutputStream(), context.deadlines(), this::close);
     }
 
     @Override
@@ -151,16 +140,7 @@
         if (!hasUser(names)) {
             throw ProtocolException.fatal(SqlState.INVALID_AUTHORIZATION, "the startup packet names no user");
         }
-        write(message -> {
-            if (protocol != Message.PROTOCOL_3) {
-                message.begin('v').put(Message.PROTOCOL_3).put(0).end(); // NegotiateProtocolVersion
-            }
-            message.begin('R').put(0).end().parameterStatus("server_version", "15.0 (holdmux)")
-                    .parameterStatus("server_encoding", "UTF8").parameterStatus("client_encoding", "UTF8")
-                    .parameterStatus("standard_conforming_strings", "on").parameterStatus("DateStyle", "ISO, MDY")
-                    .parameterStatus("integer_datetimes", "on")
-                    .begin('K').put(0).put(0).end().readyForQuery();
-        });
+        out.greet(protocol);
     }
 
     private static boolean hasUser(byte[] names) throws ProtocolException {
@@ -303,12 +283,14 @@
             endAfterThis();
         } else if (isFlooded()) {
             counters.count(Counter.OVER_CAPACITY);
-            refuse(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once", 0);
+            out.error(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once", 0);
         } else {
             try {
                 answerQuery(turn);
             } catch (ProtocolException e) {
                 refuseInput(e);
+            } catch (StatementException e) {
+                refuseInput(ProtocolException.rejected(e));
             }
         }
     }
@@ -327,7 +309,7 @@
         }
     }
 
-    private void answerQuery(Turn turn) throws IOException, ProtocolException {
+    private void answerQuery(Turn turn) throws IOException, ProtocolException, StatementException {
         Text query = turn.query();
         int end = turn.length() - 1;
         if (end < 0 || query.at(end) != 0) {
@@ -336,30 +318,30 @@
         if (blank(query, end)) {
             context.clients().works(this);
             if (context.clients().isAway()) {
-                refuse(SqlState.CANNOT_CONNECT_NOW, "this pooler sends its clients away", 0);
+                out.error(SqlState.CANNOT_CONNECT_NOW, "this pooler sends its clients away", 0);
                 return;
             }
             awaitReady();
             counters.count(Counter.EMPTY_QUERIES);
-            write(message -> message.begin('I').end().readyForQuery());
+            out.emptyQuery();
         } else if (isShowStats(query, end)) {
             context.clients().works(this);
-            showStats();
+            out.stats(counters);
         } else {
             Statement statement = Statement.parse(query.butLast());
-            Request.Call call = call(statement);
+            Request.Call call = context.admission().call(statement, context.clients().timeLeft());
             context.clients().works(this);
-            if (context.clients().timeLeft() < waitNs(statement) && statement.write) {
+            if (context.clients().timeLeft() < Admission.waitNs(statement) && statement.write) {
                 // it could not be told how the write ended; another pooler can take it
                 endAfterThis();
-                refuse(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
+                out.error(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
                 return;
             }
             Request request = context.balancer().taken(call);
             if (!begins(request)) {
                 context.balancer().left(request);
             }
-            context.balancer().life(request, new PgExchange(statement));
+            context.balancer().life(request, statement, new PgClient(statement));
             begins(null);
         }
     }
@@ -378,32 +360,6 @@
         }
     }
 
-    /** PgBouncer's name for it: the counters, a row each. */
-    private void showStats() throws IOException {
-        write(message -> {
-            message.begin('T').putShort(2);
-            column(message, "counter");
-            column(message, "value").end();
-            int rows = 0;
-            for (Counter counter : Counter.values()) {
-                message.begin('D').putShort(2);
-                field(message, counter.toString());
-                field(message, Long.toString(counters.get(counter))).end();
-                rows++;
-            }
-            message.begin('C').put("SHOW " + rows).end().readyForQuery();
-        });
-    }
-
-    private static Message column(Message message, String name) {
-        return message.put(name).put(0).putShort(0).put(TEXT_TYPE).putShort(-1).put(-1).putShort(0);
-    }
-
-    private static Message field(Message message, String value) {
-        byte[] text = value.getBytes(StandardCharsets.UTF_8);
-        return message.put(text.length).put(text, 0, text.length);
-    }
-
     private static boolean isShowStats(Text query, int end) {
         // 32 bytes hold the command with room for blanks; longer ones are statements
         return end < 32 && query.string(0, end).strip().toUpperCase(Locale.ROOT)
@@ -419,87 +375,47 @@
         return true;
     }
 
-    private Request.Call call(Statement statement) throws ProtocolException {
-        Deployment deployment = context.balancer().deployment();
-        int index = deployment.classes().indexOf(statement.className);
-        if (index < 0) {
-            throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "unknown class");
-        }
-        if (!context.fleet().hasGroup(statement.group)) {
-            throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "unknown group " + statement.group);
-        }
-        RequestClass type = deployment.settings().classes().get(index);
-        if (statement.write != (type.consistency() == Consistency.WRITE)) {
-            throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "the class does not go with the statement");
-        }
-        boolean session = statement.write || type.consistency() == Consistency.SESSION;
-        return new Request.Call(statement.className, type.consistency(), statement.retry, Math.max(1, Math.min(waitNs(statement), context.clients().timeLeft())),
-                statement.afterMs * Clock.MS, session ? statement.session() : 0, statement.group);
-    }
-
-    private static long waitNs(Statement statement) {
-        return Math.max(1, statement.waitMs - UNDERWAY_MS) * Clock.MS;
-    }
-
     /** The PostgreSQL side of one request. */
-    private final class PgExchange implements Exchange {
+    private final class PgClient implements Client {
         private final Statement statement;
-        private Answer served;
 
-        PgExchange(Statement statement) {
+        PgClient(Statement statement) {
             this.statement = statement;
         }
 
         @Override
-        public Reply attempt(Attempt attempt) {
-            long limitMs = Math.max(1, attempt.limitNs / Clock.MS);
-            return context.servers().talk(attempt, statement.compose(limitMs), this::heard);
-        }
-
-        private Reply heard(Answer answer) {
-            Reply reply = answer.reply();
-            if (reply.outcome() == Outcome.OK) {
-                served = answer;
-            } else {
-                context.servers().giveBack(answer);
-            }
-            return reply;
+        public Value.Form form() {
+            return Value.Form.CELL;
         }
 
         @Override
-        public void serve() throws IOException {
+        public void serve(Value value) throws IOException {
             try {
-                if (served.begun()) {
-                    counters.count(Counter.LONG_ANSWERS);
-                    context.servers().relay(served, out);
+                if (value instanceof PgValue same) {
+                    if (same.isLong()) {
+                        counters.count(Counter.LONG_ANSWERS);
+                    }
+                    same.relayTo(out);
                 } else {
-                    served.writeTo(out);
+                    out.cell((Cell) value, statement.write);
                 }
             } catch (IOException e) {
                 leave(); // what is cut short shows as that
                 throw e;
-            } finally {
-                context.servers().giveBack(served);
             }
         }
 
         @Override
         public void refuse(long waitNs) throws IOException {
-            ClientSession.this.refuse(SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time", waitNs);
+            out.error(SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time", waitNs);
         }
 
         @Override
         public void fail() throws IOException {
-            write(message -> message.error(false, SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
-                    "no answer came in time; the request may have run", null).readyForQuery());
+            out.error(SqlState.TRANSACTION_RESOLUTION_UNKNOWN, "no answer came in time; the request may have run", 0);
         }
     }
 
-    private void refuse(String sqlState, String words, long waitNs) throws IOException {
-        String waitMs = waitNs <= 0 ? null : Long.toString((waitNs + Clock.MS - 1) / Clock.MS);
-        write(message -> message.error(false, sqlState, words, waitMs).readyForQuery());
-    }
-
     /** Counts and answers bad input; the log has the first and then one in some, so that no flood fills it. */
     private void refuseInput(ProtocolException e) throws IOException {
         boolean capacity = e.sqlState.equals(SqlState.TOO_MANY_CONNECTIONS);
@@ -510,7 +426,7 @@
         if (!e.framed) {
             endAfterThis();
         }
-        write(message -> {
+        out.message(message -> {
             message.error(!e.framed, e.sqlState, e.getMessage(), null);
             if (e.framed) {
                 message.readyForQuery();
@@ -518,38 +434,6 @@
         });
     }
 
-    private void write(Consumer<Message> composer) throws IOException {
-        Message message = new Message(new byte[OWN_MESSAGES]);
-        composer.accept(message);
-        message.writeTo(out);
-    }
-
-    /** Writes to the client in pieces; one that does not take the next piece in time is cut off. */
-    private final class Pieces extends OutputStream {
-        private final OutputStream to;
-
-        Pieces(OutputStream to) {
-            this.to = to;
-        }
-
-        @Override
-        public void write(int one) throws IOException {
-            write(new byte[] {(byte) one}, 0, 1);
-        }
-
-        @Override
-        public void write(byte[] from, int at, int length) throws IOException {
-            for (int done = 0; done < length; done += PIECE) {
-                Deadlines.Deadline timeOut = context.deadlines().after(TAKE_MS * Clock.MS, ClientSession.this::close);
-                try {
-                    to.write(from, at + done, Math.min(PIECE, length - done));
-                } finally {
-                    context.deadlines().cancel(timeOut);
-                }
-            }
-        }
-    }
-
     /** Waits until not too much is read ahead, and after a flood until all of it is turned away. */
     private synchronized void awaitRoom() throws IOException {
         try {
--- a/pooler/src/main/java/holdmux/pg/Listener.java
+++ b/pooler/src/main/java/holdmux/pg/Listener.java
@@ -3,6 +3,7 @@
 import holdmux.core.Clock;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
+import holdmux.statement.SqlState;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
--- a/pooler/src/main/java/holdmux/pg/ProtocolException.java
+++ b/pooler/src/main/java/holdmux/pg/ProtocolException.java
@@ -1,5 +1,7 @@
 package holdmux.pg;
 
+import holdmux.statement.StatementException;
+
 /** Input that breaks the protocol; carries the SQLSTATE of the ErrorResponse that it deserves. */
 final class ProtocolException extends Exception {
     private static final long serialVersionUID = 1L;
@@ -15,8 +17,8 @@
     }
 
     /** A statement that is refused; the connection goes on. */
-    static ProtocolException rejected(String sqlState, String message) {
-        return new ProtocolException(true, sqlState, message);
+    static ProtocolException rejected(StatementException e) {
+        return new ProtocolException(true, e.sqlState, e.getMessage());
     }
 
     /** The framing is lost or the peer is no client of ours; the connection ends. */
--- a/pooler/src/main/java/holdmux/pg/Rehearsal.java
+++ b/pooler/src/main/java/holdmux/pg/Rehearsal.java
@@ -1,6 +1,7 @@
 package holdmux.pg;
 
 import holdmux.config.Deployment;
+import holdmux.core.ServerStatus;
 import holdmux.decision.ReadWriteSplitter;
 import holdmux.decision.SplitterApi.Action;
 import holdmux.decision.SplitterApi.Answered;
@@ -14,6 +15,10 @@
 import holdmux.decision.SplitterApi.Role;
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
+import holdmux.statement.Buffers;
+import holdmux.statement.Statement;
+import holdmux.statement.StatementException;
+import holdmux.statement.Text;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -31,11 +36,11 @@
     private Rehearsal() {}
 
     /** Returns what was sent and parsed, so that none of it is idle work to the compiler. */
-    static int run(Deployment deployment) throws ProtocolException {
+    static int run(Deployment deployment) throws ProtocolException, StatementException {
         return parsers(deployment) + module(deployment);
     }
 
-    private static int parsers(Deployment deployment) throws ProtocolException {
+    private static int parsers(Deployment deployment) throws ProtocolException, StatementException {
         byte[] query = ("SELECT data FROM facts WHERE code = '7f3a9c21e0b4d655' /* id=9b1f03aa5c7e2d41,c="
                 + deployment.classes().get(0) + ",d=480,cluster=0 */").getBytes(StandardCharsets.UTF_8);
         byte[] buffer = new byte[Buffers.SIZE];
@@ -45,11 +50,11 @@
                 .parameterStatus("log_position", "1767225600123")
                 .parameterStatus("pressure", "x0=1767225599.5,x1=0,inflight=7,util=0.61").readyForQuery();
         int length = answer.bytes().remaining();
-        Answer.Form form = new Answer.Form(deployment.reportFields(), deployment.settings().zeroNs());
+        ServerStatus.Form form = ServerStatus.Form.of(deployment);
         int parsed = 0;
         for (int i = 0; i < ROUNDS; i++) {
             Statement statement = Statement.parse(Text.of(query, query.length));
-            parsed += statement.compose(statement.waitMs).size() > 0 ? 0 : 1;
+            parsed += PgUpstream.query(statement.text(statement.waitMs)).size() > 0 ? 0 : 1;
             Answer heard = new Answer(buffer, form);
             parsed += heard.parse(length) && heard.reply().outcome() == Outcome.OK ? 1 : 0;
         }
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -2,6 +2,8 @@
 
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
+import holdmux.core.ServerStatus;
+import holdmux.statement.Buffers;
 import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
@@ -68,7 +70,7 @@
      * answer keeps its buffer, which the caller gives back. If the connection breaks behind a served row or an error,
      * that stands all the same.
      */
-    Answer receive(Answer.Form form) throws IOException, ProtocolException {
+    Answer receive(ServerStatus.Form form) throws IOException, ProtocolException {
         byte[] head = new byte[Message.HEAD];
         int got = channel.read(ByteBuffer.wrap(head));
         Answer answer = new Answer(buffers.take(), form);
@@ -95,10 +97,10 @@
         return answer;
     }
 
-    /** Passes an answer whose long row has begun on to its end, as it comes, in pieces of its one buffer. */
-    void relay(Answer answer, OutputStream out, Deadlines deadlines) throws IOException, ProtocolException {
+    /** Passes an answer whose long row has begun on to its end, or its value alone, as it comes, through its one buffer. */
+    void relay(Answer answer, OutputStream out, boolean messages, Deadlines deadlines) throws IOException, ProtocolException {
         long left = answer.toCome();
-        ByteBuffer in = ByteBuffer.wrap(answer.buffer).position(answer.beginTo(out));
+        ByteBuffer in = ByteBuffer.wrap(answer.buffer).position(answer.beginTo(out, messages));
         while (left > 0) {
             read(in.clear().limit((int) Math.min(left, in.capacity())), deadlines);
             left -= in.position();
@@ -112,7 +114,9 @@
         if (!answer.served()) {
             throw new IOException("the server broke a long answer off");
         }
-        answer.endTo(out);
+        if (messages) {
+            answer.endTo(out);
+        }
     }
 
     /** Some more of an answer that has begun; only silence ends it, however long it takes. */
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -8,10 +8,12 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Deadlines.Deadline;
 import holdmux.core.Fleet;
-import holdmux.core.Prober;
 import holdmux.core.Reply;
+import holdmux.core.ServerStatus;
 import holdmux.core.Shared;
 import holdmux.decision.SplitterApi.Outcome;
+import holdmux.statement.Buffers;
+import holdmux.statement.SqlState;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
@@ -25,11 +27,11 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 
-/** Connections to servers, kept while idle and used again, the latest first; carries out attempts and probes. */
-final class ServerPool implements Prober {
+/** Connections to servers, kept while idle and used again, the latest first. */
+final class ServerPool {
     /** Part of the servers' idle time after which we close first: half leaves no race with the server's close. */
     private static final int IDLE_PART = 2;
-    /** Holds a startup packet or a probe. */
+    /** Holds a startup packet. */
     private static final int OWN_MESSAGES = 128;
 
     private record Idle(ServerConnection connection, Deadline close) {}
@@ -40,7 +42,7 @@
     private final Counters counters;
     private final Buffers buffers;
     private final Supplier<Deployment> deployment;
-    private final Answer.Form form;
+    private final ServerStatus.Form form;
     private final int most;
     private final Shared shared;
     private final Map<Long, Deque<Idle>> idle = new HashMap<>();
@@ -57,7 +59,7 @@
         this.counters = counters;
         this.buffers = buffers;
         this.deployment = deployment;
-        form = new Answer.Form(deployment.get().reportFields(), deployment.get().settings().zeroNs());
+        form = ServerStatus.Form.of(deployment.get());
         this.most = most;
         this.shared = shared;
     }
@@ -111,12 +113,15 @@
         }
     }
 
-    /** Passes on the rest of an answer whose long row has begun; the client can tell if it does not come whole. */
-    void relay(Answer answer, OutputStream out) throws IOException {
+    /**
+     * Passes on the rest of an answer whose long row has begun, with the messages round its value or that alone; the
+     * client can tell if it does not come whole.
+     */
+    void relay(Answer answer, OutputStream out, boolean messages) throws IOException {
         ServerConnection connection = begun.remove(answer);
         boolean clean = false;
         try {
-            connection.relay(answer, out, deadlines);
+            connection.relay(answer, out, messages, deadlines);
             clean = answer.whole();
         } catch (ProtocolException e) {
             throw new IOException("a long answer was spoilt", e);
@@ -144,21 +149,12 @@
         }
     }
 
-    @Override
-    public Reply probe(Attempt attempt) {
-        List<ByteBuffer> query = List.of(new Message(new byte[OWN_MESSAGES]).begin('Q').put("SHOW pressure").end().bytes());
-        return talk(attempt, query, answer -> {
-            ServerConnection endless = begun.remove(answer);
-            if (endless != null) {
-                discard(endless); // no report is that long
-            }
-            buffers.give(answer.buffer);
-            return answer.probeReply();
-        });
-    }
-
-    /** Gives back the buffer of an answer that {@link #talk} handed on. */
+    /** Gives back what an answer holds that {@link #talk} handed on. */
     void giveBack(Answer answer) {
+        ServerConnection unread = begun.remove(answer);
+        if (unread != null) {
+            discard(unread);
+        }
         buffers.give(answer.buffer);
     }
 
--- a/pooler/src/main/java/holdmux/pg/Buffers.java
+++ b/pooler/src/main/java/holdmux/statement/Buffers.java
@@ -1,4 +1,4 @@
-package holdmux.pg;
+package holdmux.statement;
 
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -9,8 +9,8 @@
  * value of 64 KiB whole; longer messages take several or pass through in pieces. A buffer is held while a message
  * passes, not between.
  */
-final class Buffers {
-    static final int SIZE = 72 * 1024;
+public final class Buffers {
+    public static final int SIZE = 72 * 1024;
     /** However little memory is told, this many messages can pass; and the part in 100 of all that one may take. */
     private static final int LEAST = 8, LONGEST_PART = 75;
     /** Waiting longer than this for a buffer helps no answer: the tightest aim of a class is some 300 ms. */
@@ -21,7 +21,7 @@
     private static final long LOOK_MS = 50;
 
     /** No buffer was to be had in time; says nothing of any peer. */
-    static final class NoneFree extends IOException {
+    public static final class NoneFree extends IOException {
         private static final long serialVersionUID = 1L;
     }
 
@@ -36,7 +36,7 @@
     private Object favoured;
 
     /** As many as these bytes have room for; the longest message must leave some of them to others. */
-    Buffers(int bytes, int longestMessage, BooleanSupplier halved) {
+    public Buffers(int bytes, int longestMessage, BooleanSupplier halved) {
         most = Math.max(LEAST, bytes / SIZE);
         longest = Math.min((longestMessage + SIZE - 1) / SIZE, most * LONGEST_PART / 100);
         this.halved = halved;
@@ -47,7 +47,7 @@
     }
 
     /** Waits a short while for a buffer. */
-    synchronized byte[] take() throws NoneFree {
+    public synchronized byte[] take() throws NoneFree {
         long by = System.nanoTime() + WAIT_MS * 1_000_000L;
         for (long left = WAIT_MS; held >= budget() && left > 0;
                 left = (by - System.nanoTime()) / 1_000_000L) {
@@ -64,7 +64,7 @@
      * Part of the budget, enough for the longest message, is kept for one reader at a time until its message is whole,
      * so that each comes to its end however many have begun.
      */
-    synchronized byte[] takeFor(Object reader, BooleanSupplier gone) throws IOException {
+    public synchronized byte[] takeFor(Object reader, BooleanSupplier gone) throws IOException {
         while (true) {
             if (held < budget() - longest) {
                 return next();
@@ -81,7 +81,7 @@
     }
 
     /** The message of this reader is whole, or will never be. */
-    synchronized void wholeFor(Object reader) {
+    public synchronized void wholeFor(Object reader) {
         if (favoured == reader) {
             favoured = null;
             notifyAll();
@@ -89,7 +89,7 @@
     }
 
     /** The longest message that the budget has room for, in bytes. */
-    int longest() {
+    public int longest() {
         return longest * SIZE;
     }
 
@@ -107,7 +107,7 @@
         }
     }
 
-    synchronized void give(byte[] buffer) {
+    public synchronized void give(byte[] buffer) {
         held--;
         if (free.size() < KEPT) {
             free.push(buffer);
--- a/pooler/src/main/java/holdmux/pg/Statement.java
+++ b/pooler/src/main/java/holdmux/statement/Statement.java
@@ -1,4 +1,4 @@
-package holdmux.pg;
+package holdmux.statement;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -11,33 +11,31 @@
  * One statement with the request's figures in its closing comment. It goes on to servers as it came, but for
  * {@code d}, which says there how long this pooler will wait.
  */
-final class Statement {
+public final class Statement {
     /** Longest literal taken: a value of 4 MiB in hexadecimal behind its {@code \x}. */
-    static final int MOST_LITERAL = 2 + 2 * 4 * 1024 * 1024;
+    public static final int MOST_LITERAL = 2 + 2 * 4 * 1024 * 1024;
     /** Longest key taken, the first literal: what is looked up is a short code. */
     private static final int MOST_KEY = 64 * 1024;
     /** Longest comment read: its few short values fit many times over. */
     private static final int MOST_COMMENT = 1_024;
     /** Longest statement: the longest literal and what else there may be. */
-    static final int MOST = MOST_LITERAL + MOST_KEY + 2 * MOST_COMMENT;
+    public static final int MOST = MOST_LITERAL + MOST_KEY + 2 * MOST_COMMENT;
 
-    private static final byte[] END = {0};
-
-    final boolean write;
+    public final boolean write;
     /** The first quoted literal: the key, which names the session in classes that have sessions. */
-    final String key;
-    final String className;
-    final boolean retry;
-    final long waitMs;
-    final int group;
+    public final String key;
+    public final String className;
+    public final boolean retry;
+    public final long waitMs;
+    public final int group;
     /** The carried position of the session's last write in Unix milliseconds; 0 for none. */
-    final long afterMs;
+    public final long afterMs;
     private final Text text;
     /** Where the value of d lies in the text. */
     private final int waitFrom, waitTo;
 
     private Statement(Text text, boolean write, String key, Map<String, String> values, int waitFrom, int waitTo)
-            throws ProtocolException {
+            throws StatementException {
         this.text = text;
         this.write = write;
         this.key = key;
@@ -52,14 +50,14 @@
     }
 
     /** Parses a statement in UTF-8, which it keeps. */
-    static Statement parse(Text text) throws ProtocolException {
+    public static Statement parse(Text text) throws StatementException {
         if (!text.isUtf8()) {
-            throw ProtocolException.rejected(SqlState.CHARACTER_NOT_IN_REPERTOIRE, "the statement is not UTF-8");
+            throw new StatementException(SqlState.CHARACTER_NOT_IN_REPERTOIRE, "the statement is not UTF-8");
         }
         int length = text.length;
         boolean write = startsWith(text, "INSERT ");
         if (!write && !startsWith(text, "SELECT ")) {
-            throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "only SELECT and INSERT are served here");
+            throw new StatementException(SqlState.SYNTAX_ERROR, "only SELECT and INSERT are served here");
         }
         String key = null;
         int from = -1;
@@ -68,27 +66,27 @@
             if (here == '\'') {
                 int end = closingQuote(text, i + 1);
                 if (end - i - 1 > (key == null ? MOST_KEY : MOST_LITERAL)) {
-                    throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 4 MiB");
+                    throw new StatementException(SqlState.PROGRAM_LIMIT_EXCEEDED, "a value over 4 MiB");
                 }
                 key = key != null ? key : text.string(i + 1, end);
                 i = end;
             } else if (here == ';') {
-                throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "one statement per query");
+                throw new StatementException(SqlState.SYNTAX_ERROR, "one statement per query");
             } else if (here == '/' && i + 1 < length && text.at(i + 1) == '*') {
                 from = i + 2;
             }
         }
         int to = length - 2;
         if (key == null || from < 0 || to < from || text.at(to) != '*' || text.at(to + 1) != '/') {
-            throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the statement must name a key and end in a comment");
+            throw new StatementException(SqlState.SYNTAX_ERROR, "the statement must name a key and end in a comment");
         }
         return parseComment(text, write, key, from, to);
     }
 
     private static Statement parseComment(Text text, boolean write, String key, int from, int to)
-            throws ProtocolException {
+            throws StatementException {
         if (to - from > MOST_COMMENT) {
-            throw ProtocolException.rejected(SqlState.PROGRAM_LIMIT_EXCEEDED, "the comment is too long");
+            throw new StatementException(SqlState.PROGRAM_LIMIT_EXCEEDED, "the comment is too long");
         }
         // one char a byte, so that places in the string are places in the text
         StringBuilder chars = new StringBuilder();
@@ -104,12 +102,12 @@
             int end = comma < 0 ? comment.length() : comma;
             int equals = comment.indexOf('=', at);
             if (equals < 0 || equals > end) {
-                throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the comment must hold name=value pairs");
+                throw new StatementException(SqlState.SYNTAX_ERROR, "the comment must hold name=value pairs");
             }
             String name = comment.substring(at, equals).strip();
             String value = comment.substring(equals + 1, end).strip();
             if (values.put(name, value) != null) {
-                throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the comment names a value twice");
+                throw new StatementException(SqlState.SYNTAX_ERROR, "the comment names a value twice");
             }
             if (name.equals("d")) {
                 waitFrom = from + comment.indexOf(value, equals + 1);
@@ -121,29 +119,29 @@
     }
 
     /** The place of the quote that ends a literal; a doubled quote is part of it. */
-    private static int closingQuote(Text text, int from) throws ProtocolException {
+    private static int closingQuote(Text text, int from) throws StatementException {
         for (int i = text.find('\'', from); i < text.length; i = text.find('\'', i + 2)) {
             if (i + 1 == text.length || text.at(i + 1) != '\'') {
                 return i;
             }
         }
-        throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "a literal does not end");
+        throw new StatementException(SqlState.SYNTAX_ERROR, "a literal does not end");
     }
 
     private static boolean startsWith(Text text, String word) {
         return text.length >= word.length() && text.string(0, word.length()).equalsIgnoreCase(word);
     }
 
-    private static String required(Map<String, String> values, String name) throws ProtocolException {
+    private static String required(Map<String, String> values, String name) throws StatementException {
         String value = values.get(name);
         if (value == null || value.isEmpty()) {
-            throw ProtocolException.rejected(SqlState.SYNTAX_ERROR, "the comment must hold " + name);
+            throw new StatementException(SqlState.SYNTAX_ERROR, "the comment must hold " + name);
         }
         return value;
     }
 
     private static long number(Map<String, String> values, String name, long least, long most)
-            throws ProtocolException {
+            throws StatementException {
         try {
             long value = Long.parseLong(required(values, name));
             if (value >= least && value <= most) {
@@ -152,11 +150,11 @@
         } catch (NumberFormatException e) {
             // said below
         }
-        throw ProtocolException.rejected(SqlState.INVALID_PARAMETER_VALUE, "the comment's " + name + " is no valid number");
+        throw new StatementException(SqlState.INVALID_PARAMETER_VALUE, "the comment's " + name + " is no valid number");
     }
 
     /** The session that the key names; the same key gives the same number. */
-    long session() {
+    public long session() {
         long hash = 0xcbf29ce484222325L; // FNV-1a
         for (byte b : key.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
@@ -164,16 +162,12 @@
         return hash == 0 ? 1 : hash; // 0 stands for no session
     }
 
-    /** The query for a server that is given this long. */
-    List<ByteBuffer> compose(long limitMs) {
-        byte[] limit = Long.toString(limitMs).getBytes(StandardCharsets.US_ASCII);
+    /** The text for a server that is given this long, in pieces. */
+    public List<ByteBuffer> text(long limitMs) {
         List<ByteBuffer> parts = new ArrayList<>();
-        int length = Integer.BYTES + waitFrom + limit.length + text.length - waitTo + END.length;
-        parts.add(ByteBuffer.allocate(Message.HEAD).put((byte) 'Q').putInt(length).flip());
         parts.addAll(text.views(0, waitFrom));
-        parts.add(ByteBuffer.wrap(limit));
+        parts.add(ByteBuffer.wrap(Long.toString(limitMs).getBytes(StandardCharsets.US_ASCII)));
         parts.addAll(text.views(waitTo, text.length));
-        parts.add(ByteBuffer.wrap(END));
         return parts;
     }
 }
--- a/pooler/src/main/java/holdmux/pg/Text.java
+++ b/pooler/src/main/java/holdmux/statement/Text.java
@@ -1,4 +1,4 @@
-package holdmux.pg;
+package holdmux.statement;
 
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
@@ -8,35 +8,35 @@
 import java.util.List;
 
 /** Bytes that lie in one array or, where they are too many, in a chain of pooled buffers, all full but the last. */
-final class Text {
+public final class Text {
     private static final int WINDOW = 4_096;
 
     private final List<byte[]> parts;
     private final boolean pooled;
-    final int length;
+    public final int length;
 
     /** {@code pooled}: the parts are buffers of {@link Buffers#SIZE}. */
-    Text(List<byte[]> parts, int length, boolean pooled) {
+    public Text(List<byte[]> parts, int length, boolean pooled) {
         this.parts = parts;
         this.length = length;
         this.pooled = pooled;
     }
 
-    static Text of(byte[] bytes, int length) {
+    public static Text of(byte[] bytes, int length) {
         return new Text(List.of(bytes), length, false);
     }
 
     /** The same bytes without the last. */
-    Text butLast() {
+    public Text butLast() {
         return new Text(parts, length - 1, pooled);
     }
 
-    byte at(int place) {
+    public byte at(int place) {
         return pooled ? parts.get(place / Buffers.SIZE)[place % Buffers.SIZE] : parts.get(0)[place];
     }
 
     /** The first place from here on that holds this byte; {@link #length} if none does. */
-    int find(char wanted, int from) {
+    public int find(char wanted, int from) {
         for (ByteBuffer view : views(from, length)) {
             byte[] part = view.array();
             int end = view.limit();
@@ -50,7 +50,7 @@
         return length;
     }
 
-    String string(int from, int to) {
+    public String string(int from, int to) {
         byte[] bytes = new byte[Math.max(0, to - from)];
         ByteBuffer copy = ByteBuffer.wrap(bytes);
         views(from, from + bytes.length).forEach(copy::put);
@@ -58,7 +58,7 @@
     }
 
     /** The bytes between two places, where they lie. */
-    List<ByteBuffer> views(int from, int to) {
+    public List<ByteBuffer> views(int from, int to) {
         List<ByteBuffer> views = new ArrayList<>();
         int size = pooled ? Buffers.SIZE : Math.max(1, length);
         for (int at = from; at < to;) {
@@ -69,7 +69,7 @@
         return views;
     }
 
-    boolean isUtf8() {
+    public boolean isUtf8() {
         return isAscii() || decodes();
     }
 
@@ -106,7 +106,7 @@
     }
 
     /** Gives back the buffers it lies in. */
-    void release(Buffers buffers) {
+    public void release(Buffers buffers) {
         if (pooled) {
             parts.forEach(buffers::give);
         }
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -1,14 +1,11 @@
 package holdmux.core;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import holdmux.config.Deployment;
 import holdmux.config.HostList;
 import holdmux.config.HostList.Host;
 import holdmux.core.Counters.Counter;
 import holdmux.decision.SplitterApi.*;
+import holdmux.statement.Statement;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,12 +13,17 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+
 @Timeout(20)
 class BalancerTest {
     private static final int READ = 0, WRITE = 1;
 
-    /** A front end that plays the given outcomes and notes what the client is told. */
-    private static class Script implements Exchange {
+    /** A front and an upstream that play the given outcomes and note what the client is told. */
+    private class Script implements Client, Upstream {
         final List<String> told = new ArrayList<>();
         final List<Long> sentTo = new ArrayList<>();
         private final List<Outcome> outcomes;
@@ -31,15 +33,34 @@
         }
 
         @Override
-        public Reply attempt(Attempt attempt) {
+        public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
             sentTo.add(attempt.store);
             attempt.carriedBy(() -> { });
             attempt.written();
-            return Reply.of(outcomes.remove(0));
+            Outcome outcome = outcomes.remove(0);
+            return new Attempted(Reply.of(outcome), outcome == Outcome.OK ? value : null);
+        }
+
+        @Override
+        public Reply probe(Attempt attempt) {
+            return Reply.of(Outcome.FULL);
+        }
+
+        @Override
+        public void closeIdle(long store) { }
+
+        @Override
+        public int held() {
+            return 0;
+        }
+
+        @Override
+        public Value.Form form() {
+            return Value.Form.CELL;
         }
 
         @Override
-        public void serve() {
+        public void serve(Value value) {
             told.add("served");
         }
 
@@ -54,6 +75,10 @@
         }
     }
 
+    /** Who carries out attempts now, what it serves, and how often that was closed. */
+    private Script upstream = new Script();
+    private int closed;
+    private Value value = () -> closed++;
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines(clock);
     private final Counters counters = new Counters();
@@ -62,7 +87,7 @@
             work -> { });
 
     BalancerTest() {
-        balancer.connect(attempt -> Reply.of(Outcome.FULL), store -> { });
+        balancer.connect(store -> upstream);
         balancer.listChanged(list(true, host("s-1", true, Availability.READY), host("s-2", false, Availability.READY)),
                 true);
     }
@@ -91,11 +116,16 @@
         return new HostList(1, whole, List.of(hosts));
     }
 
+    private void life(Request request, Script script) {
+        upstream = script;
+        balancer.life(request, null, script);
+    }
+
     private Script play(int classIndex, Outcome... outcomes) {
         Script script = new Script(outcomes);
         Request.Call call = new Request.Call(classIndex == READ ? "history" : "save-quote",
                 classIndex == READ ? Consistency.ANY : Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2);
-        balancer.life(balancer.taken(call), script);
+        life(balancer.taken(call), script);
         return script;
     }
 
@@ -115,17 +145,28 @@
         assertEquals(1, counters.get(Counter.FAILED));
     }
 
+    /** What a server gave is given back, passed on or not; what no front can pass on is a failure, since it has run. */
+    @Test
+    void aValueIsClosedAndOneThatFitsNoFrontFails() {
+        assertEquals(List.of("served"), play(READ, Outcome.OK).told);
+        assertEquals(1, closed);
+        value = null;
+        assertEquals(List.of("failed"), play(WRITE, Outcome.OK).told);
+        assertEquals(1, counters.get(Counter.VALUES_UNFIT));
+        assertEquals(1, counters.get(Counter.SERVED));
+    }
+
     /** A fault of this program on the way is the attempt's: one answer all the same. */
     @Test
     void anExceptionFailsOneRequest() {
         Script script = new Script() {
             @Override
-            public Reply attempt(Attempt attempt) {
+            public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
                 attempt.written();
                 throw new IllegalStateException("planted");
             }
         };
-        balancer.life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
+        life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
         assertEquals(List.of("failed"), script.told);
         assertEquals(List.of("served"), play(READ, Outcome.OK).told);
     }
@@ -135,7 +176,7 @@
         Request request = balancer.taken(new Request.Call("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
         balancer.left(request);
         Script script = new Script();
-        balancer.life(request, script);
+        life(request, script);
         assertEquals(List.of(), script.told);
         assertEquals(1, counters.get(Counter.CLIENTS_LEFT));
     }
@@ -148,7 +189,7 @@
         Request request = balancer.taken(new Request.Call("history", Consistency.ANY, false, Clock.MS, 0, 7, 2));
         Thread sweeper = Workers.thread("sweeper", deadlines::run);
         sweeper.start();
-        balancer.life(request, script);
+        life(request, script);
         assertEquals(List.of("refused " + 500 * Clock.MS), script.told);
     }
 
@@ -199,7 +240,7 @@
         Request open = balancer.taken(new Request.Call("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
         balancer.retune(deployment(with(old, List.of(safe, read)), "save-quote", "history-r2"));
         Script dropped = new Script();
-        balancer.life(open, dropped);
+        life(open, dropped);
         assertEquals(List.of("refused 0"), dropped.told);
         Script again = play(WRITE, Outcome.RESET, Outcome.OK);
         assertEquals(List.of("served"), again.told);
@@ -219,11 +260,11 @@
         balancer.tellWritesTo(write -> order.add("told " + write.session()));
         Script script = new Script(Outcome.OK) {
             @Override
-            public void serve() {
+            public void serve(Value value) {
                 order.add("served");
             }
         };
-        balancer.life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)),
+        life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)),
                 script);
         assertEquals(List.of("told 7", "served"), order);
         assertTrue(balancer.writes().stream().anyMatch(w -> w.session() == 7 && w.positionNs() > 0));
--- a/pooler/src/test/java/holdmux/pg/AnswerTest.java
+++ b/pooler/src/test/java/holdmux/pg/AnswerTest.java
@@ -1,14 +1,11 @@
 package holdmux.pg;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import holdmux.core.Reply;
+import holdmux.core.ServerStatus;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.decision.SplitterApi.Role;
+import holdmux.statement.Buffers;
+import holdmux.statement.SqlState;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -20,11 +17,18 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+
 class AnswerTest {
     private static final long MS = 1_000_000L;
     private static final long ZERO_S = 1_767_225_000L;
-    private static final Answer.Form FORM =
-            new Answer.Form(List.of("x0", "x1", "outstanding", "utilization"), ZERO_S * 1_000 * MS);
+    private static final ServerStatus.Form FORM =
+            new ServerStatus.Form(List.of("x0", "x1", "outstanding", "utilization"), ZERO_S * 1_000 * MS);
 
     private static byte[] bytes(Consumer<Message> composer) {
         Message message = new Message(new byte[1_024]);
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -1,20 +1,19 @@
 package holdmux.pg;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import holdmux.config.Config;
 import holdmux.config.ConfigTest;
+import holdmux.core.Admission;
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
+import holdmux.core.Services;
 import holdmux.core.Shared;
+import holdmux.core.Upstreams;
 import holdmux.core.Workers;
+import holdmux.statement.SqlState;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -40,6 +39,12 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+
 /** The whole client and server side over loopback, against one scripted primary. */
 @Timeout(20)
 class PoolerTest {
@@ -88,7 +93,11 @@
         Fleet fleet = new Fleet(List.of(), List.of());
         Balancer balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
                 fleet, workers);
-        front = new PgFront(config, balancer, fleet, clock, deadlines, counters, workers, new Shared(), ready);
+        Shared shared = new Shared();
+        balancer.connect(new Upstreams(fleet, new PgUpstream(config.caps(), fleet, clock, deadlines, counters,
+                balancer::deployment, shared))::of);
+        front = new PgFront(new Services(config, balancer, new Admission(balancer::deployment, fleet), fleet, clock,
+                deadlines, counters, workers, shared), ready);
         front.listen();
         balancer.listChanged(config.known(), true);
         Workers.thread("deadlines", deadlines::run).start();
--- a/pooler/src/test/java/holdmux/pg/BuffersTest.java
+++ b/pooler/src/test/java/holdmux/statement/BuffersTest.java
@@ -1,4 +1,4 @@
-package holdmux.pg;
+package holdmux.statement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/pooler/src/test/java/holdmux/pg/StatementTest.java
+++ b/pooler/src/test/java/holdmux/statement/StatementTest.java
@@ -1,4 +1,4 @@
-package holdmux.pg;
+package holdmux.statement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -21,29 +21,23 @@
     private static final String WRITE = "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f03') RETURNING data "
             + "/* id=9b1f03aa5c7e2d41,c=order,d=4800,cluster=2,k=17 */";
 
-    private static Statement parse(String text) throws ProtocolException {
+    private static Statement parse(String text) throws StatementException {
         return parse(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static Statement parse(byte[] text) throws ProtocolException {
+    private static Statement parse(byte[] text) throws StatementException {
         return Statement.parse(Text.of(Arrays.copyOf(text, text.length + 9), text.length)); // a buffer is longer than its text
     }
 
     private static String sent(Statement statement, long limitMs) {
-        List<ByteBuffer> parts = statement.compose(limitMs);
+        List<ByteBuffer> parts = statement.text(limitMs);
         ByteBuffer bytes = ByteBuffer.allocate(parts.stream().mapToInt(ByteBuffer::remaining).sum());
         parts.forEach(bytes::put);
-        bytes.flip();
-        assertEquals('Q', bytes.get());
-        assertEquals(bytes.remaining(), bytes.getInt(), "the length counts itself but not the type");
-        byte[] text = new byte[bytes.remaining() - 1];
-        bytes.get(text);
-        assertEquals(0, bytes.get());
-        return new String(text, StandardCharsets.UTF_8);
+        return new String(bytes.array(), StandardCharsets.UTF_8);
     }
 
     @Test
-    void readsTheFiguresOfARequest() throws ProtocolException {
+    void readsTheFiguresOfARequest() throws StatementException {
         Statement read = parse(READ);
         assertFalse(read.write);
         assertEquals("basket", read.className);
@@ -58,7 +52,7 @@
 
     /** Servers void a statement that no client sent: only d may change on the way. */
     @Test
-    void onlyTheWaitChangesOnTheWay() throws ProtocolException {
+    void onlyTheWaitChangesOnTheWay() throws StatementException {
         assertEquals(WRITE.replace("d=4800", "d=77"), sent(parse(WRITE), 77));
         String spaced = READ.replace("d=480,", " d = 480 ,").replace("7f3a", "d=480''ü/*");
         assertEquals(spaced.replace("d = 480", "d = 3"), sent(parse(spaced), 3));
@@ -75,27 +69,26 @@
         assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("d=480", "d=-1"));
         assertRejected(SqlState.INVALID_PARAMETER_VALUE, READ.replace("cluster=2", "cluster=99999"));
         assertRejected(SqlState.PROGRAM_LIMIT_EXCEEDED, WRITE.replace("9f03", "ab".repeat(4 * 1024 * 1024 + 1)));
-        ProtocolException e = assertThrows(ProtocolException.class, () -> parse(new byte[] {'S', (byte) 0xff}));
+        StatementException e = assertThrows(StatementException.class, () -> parse(new byte[] {'S', (byte) 0xff}));
         assertEquals(SqlState.CHARACTER_NOT_IN_REPERTOIRE, e.sqlState);
     }
 
     @Test
-    void takesTheLargestValue() throws ProtocolException {
+    void takesTheLargestValue() throws StatementException {
         String largest = WRITE.replace("9f03", "ab".repeat(64 * 1024));
         assertEquals(largest.replace("d=4800", "d=4000"), sent(parse(largest), 4000));
     }
 
     private static void assertRejected(String sqlState, String text) {
-        ProtocolException e = assertThrows(ProtocolException.class, () -> parse(text), text);
+        StatementException e = assertThrows(StatementException.class, () -> parse(text), text);
         assertEquals(sqlState, e.sqlState, e.getMessage());
-        assertTrue(e.framed, "the connection goes on");
     }
 
     @Property(tries = 300, seed = "11")
     void noCutOfAStatementPasses(@ForAll boolean write, @ForAll @IntRange(max = 200) int at) {
         byte[] text = (write ? WRITE : READ).getBytes(StandardCharsets.UTF_8);
         byte[] cut = Arrays.copyOf(text, Math.min(at, text.length - 1));
-        assertThrows(ProtocolException.class, () -> parse(cut));
+        assertThrows(StatementException.class, () -> parse(cut));
     }
 
     /** Garbage may be refused but must not throw anything else. */
@@ -106,7 +99,7 @@
         for (byte[] input : new byte[][] {garbage, text}) {
             try {
                 assertTrue(parse(input).waitMs > 0);
-            } catch (ProtocolException e) {
+            } catch (StatementException e) {
                 assertEquals(5, e.sqlState.length());
             }
         }
