--- /dev/null
+++ b/flight/src/main/java/holdmux/flight/Caller.java
@@ -0,0 +1,30 @@
+package holdmux.flight;
+
+import io.grpc.Context;
+import io.grpc.Deadline;
+import io.grpc.Metadata;
+import java.util.concurrent.TimeUnit;
+
+/** Who made a call: its connection, its headers, how long it waits (null for ever), and the means to cut it off. */
+record Caller(Object connection, Metadata headers, Deadline deadline, Connections connections) {
+    static final Context.Key<Caller> KEY = Context.key("caller");
+
+    static Caller now() {
+        return KEY.get();
+    }
+
+    /** A header's value; null for none. */
+    String header(String name) {
+        return headers.get(Metadata.Key.of(name, Metadata.ASCII_STRING_MARSHALLER));
+    }
+
+    /** How long the caller's gRPC deadline leaves. */
+    long leftNs() {
+        return deadline == null ? Long.MAX_VALUE : deadline.timeRemaining(TimeUnit.NANOSECONDS);
+    }
+
+    /** Ends the connection at once: a status would queue up behind what its client does not take. */
+    void cutOff() {
+        connections.cutOff(connection);
+    }
+}
--- /dev/null
+++ b/flight/src/main/java/holdmux/flight/Ipc.java
@@ -0,0 +1,243 @@
+package holdmux.flight;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.WireFormat;
+import holdmux.core.Cell;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.channels.Channels;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.arrow.flatbuf.DictionaryBatch;
+import org.apache.arrow.flatbuf.Message;
+import org.apache.arrow.flatbuf.MessageHeader;
+import org.apache.arrow.flatbuf.RecordBatch;
+import org.apache.arrow.flight.impl.Flight.FlightData;
+import org.apache.arrow.memory.ArrowBuf;
+import org.apache.arrow.memory.BufferAllocator;
+import org.apache.arrow.vector.FieldVector;
+import org.apache.arrow.vector.VarBinaryVector;
+import org.apache.arrow.vector.VectorSchemaRoot;
+import org.apache.arrow.vector.VectorUnloader;
+import org.apache.arrow.vector.ipc.ArrowStreamReader;
+import org.apache.arrow.vector.ipc.WriteChannel;
+import org.apache.arrow.vector.ipc.message.ArrowRecordBatch;
+import org.apache.arrow.vector.ipc.message.MessageSerializer;
+import org.apache.arrow.vector.types.pojo.ArrowType;
+import org.apache.arrow.vector.types.pojo.Field;
+import org.apache.arrow.vector.types.pojo.Schema;
+
+/** Arrow's IPC format as Flight's messages, for the few tables that are made or read here rather than passed on. */
+final class Ipc {
+    /** Bodies are padded to this, as the format asks. */
+    private static final int ALIGNMENT = 8;
+    private static final int CONTINUATION = 0xffffffff;
+
+    private final BufferAllocator allocator;
+
+    Ipc(BufferAllocator allocator) {
+        this.allocator = allocator;
+    }
+
+    /** The schema of a value that PostgreSQL gave. */
+    static Schema cellSchema(String column) {
+        return new Schema(List.of(Field.nullable(column, ArrowType.Binary.INSTANCE)));
+    }
+
+    /** A schema as the message that begins a stream. */
+    static byte[] frame(Schema schema) {
+        return FlightData.newBuilder().setDataHeader(ByteString.copyFrom(MessageSerializer.serializeMetadata(schema)))
+                .build().toByteArray();
+    }
+
+    /** A schema as FlightInfo and its like carry it. */
+    static ByteString encapsulated(Schema schema) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            MessageSerializer.serialize(new WriteChannel(Channels.newChannel(out)), schema);
+        } catch (IOException e) {
+            throw new IllegalStateException("memory takes what is written", e);
+        }
+        return ByteString.copyFrom(out.toByteArray());
+    }
+
+    /** What a root holds, as one batch. */
+    static byte[] frame(VectorSchemaRoot root) {
+        try (ArrowRecordBatch batch = new VectorUnloader(root).getRecordBatch()) {
+            ByteArrayOutputStream body = new ByteArrayOutputStream((int) batch.computeBodyLength());
+            for (ArrowBuf buffer : batch.getBuffers()) {
+                byte[] bytes = new byte[(int) buffer.readableBytes()];
+                buffer.getBytes(buffer.readerIndex(), bytes);
+                body.writeBytes(bytes);
+                body.writeBytes(new byte[(ALIGNMENT - bytes.length % ALIGNMENT) % ALIGNMENT]);
+            }
+            return FlightData.newBuilder().setDataHeader(ByteString.copyFrom(MessageSerializer.serializeMetadata(batch)))
+                    .setDataBody(ByteString.copyFrom(body.toByteArray())).build().toByteArray();
+        }
+    }
+
+    /** A cell as a table of one binary column; takes all of it in. */
+    List<byte[]> table(Cell cell) throws IOException {
+        Schema schema = cellSchema(cell.column());
+        try (VectorSchemaRoot root = VectorSchemaRoot.create(schema, allocator)) {
+            VarBinaryVector vector = (VarBinaryVector) root.getVector(0);
+            if (cell.length() == Cell.NULL) {
+                vector.allocateNew(1);
+                vector.setNull(0);
+            } else {
+                ByteArrayOutputStream bytes = new ByteArrayOutputStream(cell.length());
+                cell.writeTo(bytes);
+                vector.setSafe(0, bytes.toByteArray());
+            }
+            root.setRowCount(1);
+            return List.of(frame(schema), frame(root));
+        }
+    }
+
+    /** What stands in front of a message's body, and how long that is. */
+    private record Head(Message header, long bodyBytes) {}
+
+    /** Reads a message but for its body, which is not copied; null for one of metadata alone. */
+    private static Head head(byte[] frame) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(frame);
+        byte[] header = {};
+        long body = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case FlightData.DATA_HEADER_FIELD_NUMBER -> header = in.readByteArray();
+                case FlightData.DATA_BODY_FIELD_NUMBER -> {
+                    body = in.readRawVarint32();
+                    in.skipRawBytes((int) body);
+                }
+                default -> in.skipField(tag);
+            }
+        }
+        return header.length == 0 ? null
+                : new Head(Message.getRootAsMessage(ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN)), body);
+    }
+
+    /**
+     * Checks that a message of a table is one, as far as it can be told without its columns: the body has the length
+     * that its header tells, and every buffer lies within it.
+     *
+     * @return what it begins with, of {@link MessageHeader}; NONE for metadata alone
+     * @throws IOException if it is spoilt
+     */
+    static byte check(byte[] frame) throws IOException {
+        try {
+            Head head = head(frame);
+            if (head == null) {
+                return MessageHeader.NONE;
+            }
+            Message message = head.header();
+            boolean good = message.bodyLength() == head.bodyBytes() && switch (message.headerType()) {
+                case MessageHeader.Schema -> message.header(new org.apache.arrow.flatbuf.Schema()) != null;
+                case MessageHeader.RecordBatch -> within((RecordBatch) message.header(new RecordBatch()), head);
+                case MessageHeader.DictionaryBatch ->
+                        within(((DictionaryBatch) message.header(new DictionaryBatch())).data(), head);
+                default -> false;
+            };
+            if (!good) {
+                throw new IOException("a message that is not whole");
+            }
+            return message.headerType();
+        } catch (RuntimeException e) {
+            throw new IOException("a message whose header cannot be read", e);
+        }
+    }
+
+    private static boolean within(RecordBatch batch, Head head) {
+        boolean good = batch.length() >= 0;
+        for (int i = 0; good && i < batch.buffersLength(); i++) {
+            long offset = batch.buffers(i).offset();
+            long length = batch.buffers(i).length();
+            good = offset >= 0 && length >= 0 && offset <= head.bodyBytes() - length;
+        }
+        return good;
+    }
+
+    private static FlightData parse(byte[] frame) throws IOException {
+        try {
+            return FlightData.parseFrom(frame);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IOException("a message that is no FlightData", e);
+        }
+    }
+
+    /** How a table's columns are named and typed, from the message that begins it. */
+    static Schema schema(byte[] frame) throws IOException {
+        try {
+            Head head = head(frame);
+            if (head == null) {
+                throw new IOException("a stream that begins with no schema");
+            }
+            return MessageSerializer.deserializeSchema(head.header());
+        } catch (RuntimeException e) {
+            throw new IOException("a stream that does not begin with a schema", e);
+        }
+    }
+
+    /** What is done with each batch of a table that is read here. */
+    interface Rows {
+        void batch(VectorSchemaRoot root) throws IOException;
+    }
+
+    /**
+     * Reads a whole table.
+     *
+     * @throws IOException if it is not one, in any way
+     */
+    void read(List<byte[]> frames, Rows rows) throws IOException {
+        ByteArrayOutputStream stream = new ByteArrayOutputStream();
+        for (byte[] frame : frames) {
+            FlightData data = parse(frame);
+            ByteString header = data.getDataHeader();
+            if (!header.isEmpty()) {
+                int padded = (header.size() + ALIGNMENT - 1) / ALIGNMENT * ALIGNMENT;
+                stream.write(ByteBuffer.allocate(2 * Integer.BYTES).order(ByteOrder.LITTLE_ENDIAN).putInt(CONTINUATION)
+                        .putInt(padded).array());
+                header.writeTo(stream);
+                stream.write(new byte[padded - header.size()]);
+                data.getDataBody().writeTo(stream);
+            }
+        }
+        try (ArrowStreamReader reader = new ArrowStreamReader(new ByteArrayInputStream(stream.toByteArray()), allocator)) {
+            VectorSchemaRoot root = reader.getVectorSchemaRoot();
+            while (reader.loadNextBatch()) {
+                rows.batch(root);
+            }
+        } catch (RuntimeException e) {
+            throw new IOException("a table that cannot be read", e);
+        }
+    }
+
+    /** How many rows a table has. */
+    long rows(List<byte[]> frames) throws IOException {
+        long[] count = new long[1];
+        read(frames, root -> count[0] += root.getRowCount());
+        return count[0];
+    }
+
+    /** A table's one value, or null where it is not one row of one column of text or bytes. */
+    Cell cell(List<byte[]> frames) throws IOException {
+        List<Object> values = new ArrayList<>();
+        String[] column = new String[1];
+        boolean[] fits = {true};
+        read(frames, root -> {
+            fits[0] &= root.getFieldVectors().size() == 1 && root.getRowCount() + values.size() <= 1;
+            for (int row = 0; fits[0] && row < root.getRowCount(); row++) {
+                FieldVector vector = root.getVector(0);
+                column[0] = vector.getName();
+                Object value = vector.isNull(row) ? null : vector.getObject(row);
+                fits[0] = value == null || value instanceof byte[] || value instanceof org.apache.arrow.vector.util.Text;
+                values.add(value instanceof org.apache.arrow.vector.util.Text text ? text.copyBytes() : value);
+            }
+        });
+        return fits[0] && values.size() == 1 ? new HeldCell(column[0], (byte[]) values.get(0)) : null;
+    }
+}
--- /dev/null
+++ b/flight/src/main/java/holdmux/flight/Raw.java
@@ -0,0 +1,65 @@
+package holdmux.flight;
+
+import io.grpc.Drainable;
+import io.grpc.KnownLength;
+import io.grpc.MethodDescriptor;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import org.apache.arrow.flight.impl.Flight;
+import org.apache.arrow.flight.impl.Flight.FlightData;
+import org.apache.arrow.flight.impl.Flight.Ticket;
+import org.apache.arrow.flight.impl.FlightServiceGrpc;
+
+/**
+ * Flight's streams with their messages left as bytes: a table passes through without being decoded, so that every vector
+ * type, dictionary and compression passes unchanged, and a message is copied once in and once out.
+ */
+final class Raw {
+    /** The service's methods that carry {@link FlightData}. */
+    static final MethodDescriptor<Ticket, byte[]> DO_GET = FlightServiceGrpc.getDoGetMethod()
+            .toBuilder(FlightServiceGrpc.getDoGetMethod().getRequestMarshaller(), new Bytes()).build();
+    static final MethodDescriptor<byte[], Flight.PutResult> DO_PUT = FlightServiceGrpc.getDoPutMethod()
+            .toBuilder(new Bytes(), FlightServiceGrpc.getDoPutMethod().getResponseMarshaller()).build();
+
+    private Raw() {}
+
+    private static final class Bytes implements MethodDescriptor.Marshaller<byte[]> {
+        @Override
+        public InputStream stream(byte[] message) {
+            return new Message(message);
+        }
+
+        @Override
+        public byte[] parse(InputStream stream) {
+            try {
+                // its length was checked against the largest message taken
+                byte[] message = new byte[stream.available()];
+                int got = stream.readNBytes(message, 0, message.length);
+                if (got < message.length || stream.read() >= 0) {
+                    throw new IOException("a message of another length than told");
+                }
+                return message;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Tells gRPC its length and writes itself in one go. */
+    private static final class Message extends ByteArrayInputStream implements KnownLength, Drainable {
+        Message(byte[] bytes) {
+            super(bytes);
+        }
+
+        @Override
+        public int drainTo(OutputStream target) throws IOException {
+            int length = count - pos;
+            target.write(buf, pos, length);
+            pos = count;
+            return length;
+        }
+    }
+}
--- /dev/null
+++ b/flight/src/main/java/holdmux/flight/Statuses.java
@@ -0,0 +1,67 @@
+package holdmux.flight;
+
+import com.google.protobuf.Any;
+import com.google.protobuf.util.Durations;
+import com.google.rpc.Code;
+import com.google.rpc.ErrorInfo;
+import com.google.rpc.RetryInfo;
+import holdmux.core.Clock;
+import holdmux.statement.StatementException;
+import io.grpc.StatusRuntimeException;
+import io.grpc.protobuf.StatusProto;
+
+/**
+ * Final answers as gRPC statuses. A client tells them apart without reading words: with a {@link RetryInfo} nothing ran
+ * and trying again is harmless, and its delay is the time to come again; UNKNOWN may have run; the rest is the client's
+ * own fault. {@link ErrorInfo} names the reason.
+ */
+final class Statuses {
+    static final String DOMAIN = "holdmux";
+
+    private Statuses() {}
+
+    /** Refused: nothing ran; {@code waitNs}: come again after so long, 0 for no advice. */
+    static StatusRuntimeException refused(String words, long waitNs) {
+        return status(Code.RESOURCE_EXHAUSTED, "REFUSED", words, waitNs);
+    }
+
+    /** This pooler is about to end or sends its clients away: nothing ran, another can take it. */
+    static StatusRuntimeException ending() {
+        return status(Code.UNAVAILABLE, "ENDING", "this pooler is about to end", 0);
+    }
+
+    /** Failed: it may have taken effect. */
+    static StatusRuntimeException failed(String words) {
+        return status(Code.UNKNOWN, "FAILED", words, -1);
+    }
+
+    /** Bad input: it reached no server, and would not the next time. */
+    static StatusRuntimeException badInput(StatementException e) {
+        return status(Code.INVALID_ARGUMENT, e.sqlState, e.getMessage(), -1);
+    }
+
+    static StatusRuntimeException badInput(String words) {
+        return status(Code.INVALID_ARGUMENT, "BAD_INPUT", words, -1);
+    }
+
+    /** A ticket that cannot be redeemed; says nothing of the request that it stood for. */
+    static StatusRuntimeException badTicket(Tickets.RefusedException e) {
+        return status(e.fault == Tickets.Fault.FORGED ? Code.INVALID_ARGUMENT : Code.NOT_FOUND,
+                "TICKET_" + e.fault, e.getMessage(), -1);
+    }
+
+    static StatusRuntimeException notOffered(String what) {
+        return status(Code.UNIMPLEMENTED, "NOT_OFFERED", what + " is not offered here", -1);
+    }
+
+    private static StatusRuntimeException status(Code code, String reason, String words, long waitNs) {
+        com.google.rpc.Status.Builder status = com.google.rpc.Status.newBuilder().setCode(code.getNumber())
+                .setMessage(words)
+                .addDetails(Any.pack(ErrorInfo.newBuilder().setReason(reason).setDomain(DOMAIN).build()));
+        if (waitNs >= 0) {
+            long waitMs = (waitNs + Clock.MS - 1) / Clock.MS;
+            status.addDetails(Any.pack(RetryInfo.newBuilder().setRetryDelay(Durations.fromMillis(waitMs)).build()));
+        }
+        return StatusProto.toStatusRuntimeException(status.build());
+    }
+}
--- /dev/null
+++ b/flight/src/main/java/holdmux/flight/Table.java
@@ -0,0 +1,92 @@
+package holdmux.flight;
+
+import holdmux.core.Value;
+import io.grpc.Status;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** A table as Flight's messages: those that have come, and the call that gives the rest; null where all have come. */
+final class Table implements Value {
+    /** Ends the use of the server's connection; true if all of the answer came. */
+    interface Release {
+        void release(boolean whole);
+    }
+
+    private final Deque<byte[]> come;
+    private final ServerCall<?, byte[]> rest;
+    private final Release release;
+    private byte[] last;
+    private boolean whole;
+
+    /** A table of which all has come; nothing is held for it. */
+    Table(List<byte[]> frames) {
+        this(frames, null, w -> { });
+    }
+
+    /** {@code come} are messages of the call that its reader has not passed on yet. */
+    Table(List<byte[]> come, ServerCall<?, byte[]> rest, Release release) {
+        this.come = new ArrayDeque<>(come);
+        this.rest = rest;
+        this.release = release;
+    }
+
+    /** The messages of a table that has come whole. */
+    List<byte[]> frames() {
+        if (rest != null) {
+            throw new IllegalStateException("a table that is still on its way");
+        }
+        return List.copyOf(come);
+    }
+
+    /**
+     * The next message; the one before it must have been passed on.
+     *
+     * @return null at the end of the whole table
+     * @throws IOException if the server cut it off
+     */
+    byte[] next() throws IOException {
+        passedOn();
+        last = come.poll();
+        try {
+            if (last == null && rest != null) {
+                last = rest.next(FlightLimits.STALL_MS);
+                Ipc.check(last);
+            }
+            whole |= last == null;
+            return last;
+        } catch (ServerCall.EndedException e) {
+            if (e.fromServer && e.status.getCode() == Status.Code.OK) {
+                whole = true;
+                return null;
+            }
+            throw new IOException("the server cut the table off: " + e.getMessage(), e);
+        } catch (ServerCall.NoRoomException e) {
+            throw new IOException("no room for more of the table", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private void passedOn() {
+        if (last != null && rest != null) {
+            rest.passed(last);
+        }
+        last = null;
+    }
+
+    @Override
+    public void close() {
+        passedOn();
+        if (rest != null) {
+            come.forEach(rest::passed);
+            come.clear();
+            if (!whole) {
+                rest.close();
+            }
+        }
+        release.release(whole);
+    }
+}
--- /dev/null
+++ b/flight/src/test/java/holdmux/flight/ParityTest.java
@@ -0,0 +1,144 @@
+package holdmux.flight;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.core.Counters.Counter;
+import holdmux.standins.Fault;
+import holdmux.standins.Fault.Kind;
+import holdmux.standins.Fault.Phase;
+import holdmux.standins.StandIns;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * The same scripts over both fronts and both kinds of server: what clients are told, what the counters say and how often
+ * each id ran must be the same in all four ways. Guards against a second way in that skips rules the first one keeps.
+ */
+class ParityTest {
+    /** One request: its id is its name; the faults its runs meet, and whether its client leaves once it was asked. */
+    private record Step(String id, String sql, boolean leaves, Fault... faults) {}
+
+    private record Scenario(String name, List<Step> steps) {}
+
+    /** What one way of playing a scenario came to. */
+    private record Outcome(List<String> told, Map<String, Long> counted, Map<String, Integer> runs) {}
+
+    private static final List<String> WAYS = List.of("PostgreSQL to PostgreSQL", "Flight SQL to PostgreSQL",
+            "PostgreSQL to Flight SQL", "Flight SQL to Flight SQL");
+
+    private final ExecutorService threads = Executors.newFixedThreadPool(WAYS.size());
+
+    private static final List<Counter> COMPARED = List.of(Counter.REQUESTS_TAKEN, Counter.SERVED, Counter.REFUSED,
+            Counter.FAILED, Counter.CLIENTS_LEFT, Counter.ATTEMPTS, Counter.ATTEMPT_OK, Counter.ATTEMPT_ERROR,
+            Counter.ATTEMPT_FULL, Counter.ATTEMPT_TIMEOUT, Counter.ATTEMPT_CONNECT_FAILED, Counter.ATTEMPT_RESET,
+            Counter.ATTEMPT_CANCELLED, Counter.ATTEMPT_MOOT, Counter.ATTEMPT_MISS, Counter.BAD_INPUT,
+            Counter.VALUES_UNFIT, Counter.INTERNAL_ERRORS);
+
+    private static Step read(String id, String type, Fault... faults) {
+        return new Step(id, "SELECT data FROM facts WHERE code = 'k1' /* id=" + id + ",c=" + type
+                + ",d=900,cluster=1 */", false, faults);
+    }
+
+    private static Step write(String id, Fault... faults) {
+        return new Step(id, "INSERT INTO facts (code, data) VALUES ('k1', '\\x9f') RETURNING data /* id=" + id
+                + ",c=save-quote,d=900,cluster=1 */", false, faults);
+    }
+
+    private static Step leaving(Step step) {
+        return new Step(step.id(), step.sql(), true, step.faults());
+    }
+
+    private static List<Fault> faults() {
+        List<Fault> faults = new ArrayList<>();
+        for (Kind kind : List.of(Kind.SILENT, Kind.RESET)) {
+            for (Phase phase : Phase.values()) {
+                faults.add(Fault.of(kind, phase));
+            }
+        }
+        faults.add(Fault.of(Kind.SPOILT, Phase.BEFORE_RUN));
+        faults.add(Fault.of(Kind.SPOILT, Phase.AFTER_RUN));
+        faults.add(Fault.of(Kind.ERROR, Phase.BEFORE_RUN));
+        faults.add(Fault.of(Kind.ERROR, Phase.AFTER_RUN));
+        faults.add(Fault.of(Kind.FULL, Phase.BEFORE_RUN));
+        faults.add(Fault.of(Kind.MISS, Phase.BEFORE_RUN));
+        return faults;
+    }
+
+    private static List<Scenario> scenarios() {
+        List<Scenario> all = new ArrayList<>();
+        for (Fault fault : faults()) {
+            String name = fault.kind() + " " + fault.phase();
+            all.add(new Scenario("a read meets " + name, List.of(read("r1", "history", fault), read("r2", "history"))));
+            all.add(new Scenario("a write meets " + name, List.of(write("w1", fault))));
+            if (fault.kind() != Kind.SILENT) {
+                all.add(new Scenario("a session's read behind its write meets " + name,
+                        List.of(write("w1"), read("r1", "my-quotes", fault))));
+            }
+        }
+        Fault reset = Fault.of(Kind.RESET, Phase.AFTER_RUN);
+        Fault full = Fault.of(Kind.FULL, Phase.BEFORE_RUN);
+        all.add(new Scenario("nothing goes wrong", List.of(write("w1"), read("r1", "my-quotes"), read("r2", "history"),
+                read("r3", "rate-lookup"), read("r4", "quote-check"))));
+        all.add(new Scenario("a read meets two resets", List.of(read("r1", "history", reset, reset))));
+        all.add(new Scenario("a write is too much once", List.of(write("w1", full, reset))));
+        all.add(new Scenario("a client leaves its silent read",
+                List.of(leaving(read("r1", "history", Fault.of(Kind.SILENT, Phase.AFTER_RUN))))));
+        all.add(new Scenario("a client leaves its silent write",
+                List.of(leaving(write("w1", Fault.of(Kind.SILENT, Phase.AFTER_RUN))))));
+        all.add(new Scenario("bad input", List.of(read("r1", "no-such-class"),
+                new Step("r2", "SELECT data FROM facts WHERE code = 'k1' /* id=r2,c=history,d=x,cluster=1 */", false),
+                new Step("r3", "SELECT data FROM facts WHERE code = 'k1' /* id=r3,c=history,d=5,cluster=9 */", false),
+                new Step("r4", "DROP TABLE facts /* id=r4,c=history,d=5,cluster=1 */", false),
+                new Step("r5", "SELECT data FROM facts WHERE code = 'k1' /* id=r5,c=save-quote,d=50,cluster=1 */",
+                        false))));
+        return all;
+    }
+
+    @TestFactory
+    Stream<DynamicTest> allWaysAgree() {
+        List<Scenario> scenarios = scenarios();
+        assertTrue(scenarios.size() >= 25);
+        return scenarios.stream().map(scenario -> DynamicTest.dynamicTest(scenario.name(), () -> {
+            List<CompletableFuture<Outcome>> ways = new ArrayList<>();
+            for (String kind : List.of(StandIns.PG_KIND, StandIns.FLIGHT_KIND)) {
+                ways.add(CompletableFuture.supplyAsync(() -> play(scenario, kind, false), threads));
+                ways.add(CompletableFuture.supplyAsync(() -> play(scenario, kind, true), threads));
+            }
+            Outcome first = ways.get(0).get();
+            for (int way = 1; way < WAYS.size(); way++) {
+                assertEquals(first, ways.get(way).get(), WAYS.get(way) + " beside " + WAYS.get(0));
+            }
+            first.runs().forEach((id, runs) -> assertTrue(id.startsWith("r") || runs <= 1, id + " ran twice"));
+        }));
+    }
+
+    private static Outcome play(Scenario scenario, String kind, boolean overFlight) {
+        try (Rig rig = new Rig(kind)) {
+            List<String> told = new ArrayList<>();
+            for (Step step : scenario.steps()) {
+                rig.standIns.group().plan(step.id(), step.faults());
+                if (step.leaves()) {
+                    Runnable asked = () -> Rig.await(() -> rig.standIns.group().runs().containsKey(step.id()));
+                    told.add(overFlight ? rig.flightLeaving(step.sql(), asked) : rig.pgLeaving(step.sql(), asked));
+                } else {
+                    told.add(overFlight ? rig.flight(step.sql()) : rig.pg(step.sql()));
+                }
+                rig.awaitQuiet();
+            }
+            Map<String, Long> counted = new TreeMap<>();
+            COMPARED.forEach(counter -> counted.put(counter.toString(), rig.get(counter)));
+            return new Outcome(told, counted, new TreeMap<>(rig.standIns.group().runs()));
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/flight/src/test/java/holdmux/flight/Rig.java
@@ -0,0 +1,235 @@
+package holdmux.flight;
+
+import holdmux.Pooler;
+import holdmux.config.Config;
+import holdmux.core.Clock;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Workers;
+import holdmux.standins.StandIns;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.apache.arrow.flight.FlightClient;
+import org.apache.arrow.flight.FlightInfo;
+import org.apache.arrow.flight.FlightRuntimeException;
+import org.apache.arrow.flight.FlightStream;
+import org.apache.arrow.flight.Location;
+import org.apache.arrow.flight.sql.FlightSqlClient;
+import org.apache.arrow.memory.BufferAllocator;
+import org.apache.arrow.memory.RootAllocator;
+
+/** A pooler with both fronts before a stand-in group of three servers, and a client of each protocol. */
+final class Rig implements AutoCloseable {
+    static final String SERVED = "served", REFUSED = "refused", FAILED = "failed", BAD = "bad input", LEFT = "left";
+
+    final StandIns standIns = new StandIns();
+    final Pooler pooler;
+    final FlightPart part;
+    final BufferAllocator allocator = new RootAllocator();
+    private final int pgPort = StandIns.freePort();
+    private final int flightPort = StandIns.freePort();
+    private FlightSqlClient client;
+
+    /** Its servers are of this kind: s-1, the primary, and the replicas s-2 and s-3. */
+    Rig(String kind) throws IOException {
+        this(kind, 256);
+    }
+
+    Rig(String kind, int memoryMb) throws IOException {
+        for (String name : List.of("s-1", "s-2", "s-3")) {
+            standIns.start(name, kind);
+        }
+        Path file = Files.createTempFile("holdmux", ".json");
+        Files.writeString(file, standIns.config(pgPort, memoryMb, 4_096));
+        Clock clock = new Clock();
+        Config config = Config.load(Map.of("BALANCER_CONFIG", file.toString()), clock.now());
+        Files.delete(file);
+        part = new FlightPart(new InetSocketAddress("127.0.0.1", flightPort), Set.of(StandIns.FLIGHT_KIND));
+        pooler = new Pooler(config, List.of(part), clock);
+        pooler.begin();
+        pooler.fronts().listen();
+        Workers.thread("front", () -> {
+            try {
+                pooler.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).start();
+        standIns.list("s-1", "up"); // news, so that the first watch ends at once
+        await(pooler::isReady);
+    }
+
+    long get(Counter counter) {
+        return pooler.services().counters().get(counter);
+    }
+
+    /** Waits until something holds; fails if it does not within any time that a test may take. */
+    static void await(BooleanSupplier holds) {
+        long by = System.nanoTime() + 15_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > by) {
+                throw new AssertionError("waited in vain");
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(2);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    Location location() {
+        return Location.forGrpcInsecure("127.0.0.1", flightPort);
+    }
+
+    int pgPort() {
+        return pgPort;
+    }
+
+    /** A new connection of Arrow's own client. */
+    FlightSqlClient connect() {
+        return new FlightSqlClient(FlightClient.builder(allocator, location()).build());
+    }
+
+    synchronized FlightSqlClient client() {
+        if (client == null) {
+            client = connect();
+        }
+        return client;
+    }
+
+    /** Asks over Flight SQL; how that ended. */
+    String flight(String sql) {
+        try {
+            FlightInfo info = client().execute(sql);
+            try (FlightStream stream = client().getStream(info.getEndpoints().get(0).getTicket())) {
+                while (stream.next()) {
+                    stream.getRoot();
+                }
+            }
+            return SERVED;
+        } catch (FlightRuntimeException e) {
+            return ending(e);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static String ending(FlightRuntimeException e) {
+        return switch (e.status().code()) {
+            case RESOURCE_EXHAUSTED -> REFUSED;
+            case UNKNOWN -> FAILED;
+            case INVALID_ARGUMENT -> BAD;
+            case CANCELLED -> LEFT;
+            default -> e.status().toString();
+        };
+    }
+
+    /** Asks over Flight SQL and leaves once the request has come to a server and, if it does, run. */
+    String flightLeaving(String sql, Runnable awaitAsked) throws Exception {
+        FlightInfo info = client().execute(sql);
+        FlightStream stream = client().getStream(info.getEndpoints().get(0).getTicket());
+        Thread reader = new Thread(() -> {
+            try {
+                stream.next();
+            } catch (FlightRuntimeException e) {
+                // cancelled
+            }
+        });
+        reader.start();
+        awaitAsked.run();
+        stream.cancel("leaving", null);
+        reader.join();
+        stream.close();
+        return LEFT;
+    }
+
+    private Socket pgConnect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", pgPort);
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        byte[] names = "user\0portal\0database\0crm\0\0".getBytes(StandardCharsets.US_ASCII);
+        out.writeInt(8 + names.length);
+        out.writeInt(196_608);
+        out.write(names);
+        read(new DataInputStream(socket.getInputStream()));
+        return socket;
+    }
+
+    private static void send(Socket socket, String sql) throws IOException {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        byte[] text = sql.getBytes(StandardCharsets.UTF_8);
+        out.writeByte('Q');
+        out.writeInt(5 + text.length);
+        out.write(text);
+        out.writeByte(0);
+        out.flush();
+    }
+
+    /** Up to ReadyForQuery: the SQLSTATE of an error, or null. */
+    private static String read(DataInputStream in) throws IOException {
+        String sqlState = null;
+        while (true) {
+            char type = (char) in.readByte();
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            if (type == 'E') {
+                String text = new String(body, StandardCharsets.UTF_8);
+                sqlState = text.substring(text.indexOf("\0C") + 2, text.indexOf('\0', text.indexOf("\0C") + 2));
+            } else if (type == 'Z') {
+                return sqlState;
+            }
+        }
+    }
+
+    /** Asks over PostgreSQL; how that ended. */
+    String pg(String sql) throws IOException {
+        try (Socket socket = pgConnect()) {
+            send(socket, sql);
+            String sqlState = read(new DataInputStream(socket.getInputStream()));
+            return sqlState == null ? SERVED : switch (sqlState) {
+                case "53300" -> REFUSED;
+                case "08007" -> FAILED;
+                case "42601", "22023", "22021", "54000" -> BAD;
+                default -> sqlState;
+            };
+        }
+    }
+
+    String pgLeaving(String sql, Runnable awaitAsked) throws IOException {
+        try (Socket socket = pgConnect()) {
+            send(socket, sql);
+            awaitAsked.run();
+        }
+        return LEFT;
+    }
+
+    /** Waits until nothing is under way here. */
+    void awaitQuiet() {
+        await(() -> get(Counter.SERVED) + get(Counter.REFUSED) + get(Counter.FAILED) + get(Counter.CLIENTS_LEFT)
+                >= get(Counter.REQUESTS_TAKEN));
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (client != null) {
+            client.close();
+        }
+        pooler.fronts().stopAccepting();
+        standIns.close();
+        await(() -> part.streamBytes() == 0);
+        part.close(); // complains if Arrow's memory is not all given back
+        allocator.close();
+    }
+}
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -2,40 +2,31 @@
 
 import holdmux.config.Config;
 import holdmux.config.ConfigException;
-import holdmux.core.Admission;
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
-import holdmux.core.Fleet;
 import holdmux.core.Fronts;
 import holdmux.core.Log;
 import holdmux.core.Part;
 import holdmux.core.Services;
-import holdmux.core.Shared;
-import holdmux.core.Upstreams;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
 import holdmux.management.ManagementServer;
 import holdmux.management.Operations;
 import holdmux.management.StateFile;
-import holdmux.pg.PgFront;
-import holdmux.pg.PgUpstream;
 import holdmux.upgrade.Upgrade;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 
 /** One pooler as a process: wiring, signals and the drain. */
 public final class Serve {
-    /** Readiness does not wait longer for discovery: the cached list serves when the agent is down. */
-    private static final long DISCOVERY_MS = 1_000;
     /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
     private static final long ACCEPT_MS = 600;
     /** SIGKILL may come this long after SIGTERM and the longest deadline, of which no more than 3 s count. */
@@ -72,73 +63,53 @@
         Signal.handle(new Signal("HUP"), signal -> hangUps.release());
         Clock clock = new Clock();
         Config config = Config.load(System.getenv(), clock.now());
-        Deadlines deadlines = new Deadlines(clock);
-        Counters counters = new Counters();
-        Workers workers = new Workers(config.caps().workers());
-        Fleet fleet = new Fleet(config.deployment().zones(), config.deployment().kinds());
-        Balancer balancer = new Balancer(config.deployment(), config.seed(), clock, deadlines, counters, fleet, workers);
-        CountDownLatch ready = new CountDownLatch(1);
-        Shared shared = new Shared();
-        Services services = new Services(config, balancer, new Admission(balancer::deployment, fleet), fleet, clock,
-                deadlines, counters, workers, shared);
-        Upstreams upstreams = new Upstreams(fleet, new PgUpstream(config.caps(), fleet, clock, deadlines, counters,
-                balancer::deployment, shared));
-        for (Part part : parts) {
-            if (!part.kinds().isEmpty()) {
-                upstreams.add(part.kinds(), part.upstream(services));
-            }
-        }
-        balancer.connect(upstreams::of);
-        PgFront front = new PgFront(services, ready);
-        Fronts fronts = Fronts.of(front, parts, services);
-        balancer.listChanged(config.known(), true);
-        deadlines.after(DISCOVERY_MS * Clock.MS, ready::countDown);
-        Workers.thread("deadlines", deadlines::run).start();
-        Watch watch = new Watch(config.discovery(), config.known(), config.seed(), counters, list -> {
-            balancer.listChanged(list, false);
-            ready.countDown();
-        });
-        Workers.thread("discovery", watch).start();
+        Pooler pooler = new Pooler(config, parts, clock);
+        Services services = pooler.services();
+        Counters counters = services.counters();
+        Balancer balancer = services.balancer();
+        Deadlines deadlines = services.deadlines();
+        Fronts fronts = pooler.fronts();
+        Watch watch = pooler.begin();
         Workers.thread("reload", () -> reload(hangUps, config, balancer, watch, counters)).start();
         reportLater(deadlines, counters);
         Path folder = System.getenv("TMPDIR") == null ? null : Path.of(System.getenv("TMPDIR"));
         AtomicReference<Upgrade> upgrade = new AtomicReference<>();
-        Operations operations = new Operations(new StateFile(folder), fleet::lists,
-                () -> ready.getCount() == 0 && fronts.isServing(), orders -> {
+        Operations operations = new Operations(new StateFile(folder), services.fleet()::lists,
+                () -> pooler.isReady() && fronts.isServing(), orders -> {
                     balancer.leaveOut(orders.excluded());
                     fronts.sendAway(orders.evacuated());
                 }, () -> upgrade.get().ordersChanged(), () -> clock.now() / Clock.MS);
         upgrade.set(new Upgrade(folder, new Upgrade.Local(balancer::writes, balancer::written, operations::refresh,
-                fronts::openClients, upstreams::held), shared, deadlines, counters));
+                fronts::openClients, services.slots()::held), services.shared(), deadlines, counters));
         balancer.tellWritesTo(upgrade.get());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(fronts, balancer, upgrade.get(), counters), "drain"));
         boolean takesOver = upgrade.get().join();
         if (config.management() != null) {
             Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
         }
-        start(front, fronts, takesOver ? upgrade.get() : null, ready);
+        start(pooler, takesOver ? upgrade.get() : null);
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         upgrade.get().serves();
-        front.run();
+        pooler.run();
     }
 
     /**
      * A process that starts alone listens first, so that who comes waits; beside an older one, which serves meanwhile,
      * it listens last. Null for no older one.
      */
-    private static void start(PgFront front, Fronts fronts, Upgrade older, CountDownLatch ready) throws IOException {
+    private static void start(Pooler pooler, Upgrade older) throws IOException {
         if (older == null) {
-            fronts.listen();
+            pooler.fronts().listen();
         }
-        front.warmUp();
+        pooler.warmUp();
         if (older != null) {
             try {
-                ready.await();
+                pooler.awaitReady();
                 older.awaitTold();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            fronts.listen();
+            pooler.fronts().listen();
         }
     }
 
--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -64,6 +64,12 @@
         return cutAs == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
     }
 
+    /** The connection broke, and its protocol proves that the server never took the request up. */
+    public synchronized Outcome provenUnrun() {
+        over = true;
+        return cutAs == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
+    }
+
     /** What it means that this program itself had no room to go on: the server is not to blame. */
     public synchronized Outcome droppedHere() {
         over = true;
--- /dev/null
+++ b/pooler/src/main/java/holdmux/core/IdleConnections.java
@@ -0,0 +1,112 @@
+package holdmux.core;
+
+import holdmux.core.Counters.Counter;
+import holdmux.core.Deadlines.Deadline;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/** Connections to servers kept while idle and used again, the latest first; each holds a slot until it is discarded. */
+public final class IdleConnections<C extends IdleConnections.Connection> {
+    /** Part of the servers' idle time after which we close first: half leaves no race with the server's close. */
+    private static final int IDLE_PART = 2;
+
+    /** One connection to one server. */
+    public interface Connection {
+        long store();
+
+        InetSocketAddress address();
+
+        /** Whether it still stands with nothing to be read: neither an end nor a late word. */
+        boolean clean();
+
+        /** Ends it; never throws. */
+        void close();
+    }
+
+    private record Idle<C>(C connection, Deadline close) {}
+
+    private final Fleet fleet;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final ServerSlots slots;
+    private final LongSupplier idleNs;
+    private final Map<Long, Deque<Idle<C>>> idle = new HashMap<>();
+
+    /** {@code idleNs}: after how long the servers close what is idle. */
+    public IdleConnections(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, ServerSlots slots,
+            LongSupplier idleNs) {
+        this.fleet = fleet;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.slots = slots;
+        this.idleNs = idleNs;
+    }
+
+    /** An idle connection that still stands, or null. */
+    public C take(long store) {
+        while (true) {
+            Idle<C> found;
+            synchronized (this) {
+                Deque<Idle<C>> of = idle.get(store);
+                found = of == null ? null : of.pollLast();
+            }
+            if (found == null) {
+                return null;
+            }
+            deadlines.cancel(found.close());
+            C connection = found.connection();
+            if (connection.address().equals(fleet.address(store)) && connection.clean()) {
+                return connection;
+            }
+            counters.count(Counter.SERVER_STALE_CLOSES);
+            discard(connection);
+        }
+    }
+
+    /** Keeps a connection for the next use. */
+    public void keep(C connection) {
+        synchronized (this) {
+            Deque<Idle<C>> of = idle.computeIfAbsent(connection.store(), s -> new ArrayDeque<>());
+            long closeAt = clock.now() + idleNs.getAsLong() / IDLE_PART;
+            of.addLast(new Idle<>(connection, deadlines.at(closeAt, () -> closeIdle(connection))));
+        }
+    }
+
+    /** Closes a connection that is in use and gives back its slot. */
+    public void discard(C connection) {
+        connection.close();
+        slots.unreserve();
+    }
+
+    private void closeIdle(C connection) {
+        boolean was;
+        synchronized (this) {
+            Deque<Idle<C>> of = idle.get(connection.store());
+            was = of != null && of.removeIf(i -> i.connection() == connection);
+        }
+        if (was) {
+            counters.count(Counter.SERVER_IDLE_CLOSES);
+            discard(connection);
+        }
+    }
+
+    /** Closes all idle connections to a server. */
+    public void closeAll(long store) {
+        Deque<Idle<C>> of;
+        synchronized (this) {
+            of = idle.remove(store);
+        }
+        if (of != null) {
+            of.forEach(i -> {
+                deadlines.cancel(i.close());
+                discard(i.connection());
+            });
+        }
+    }
+}
--- a/pooler/src/main/java/holdmux/core/Upstream.java
+++ b/pooler/src/main/java/holdmux/core/Upstream.java
@@ -20,7 +20,4 @@
 
     /** Closes all idle connections to a server. */
     void closeIdle(long store);
-
-    /** Connections held now, in use or idle. */
-    int held();
 }
--- a/pooler/src/main/java/holdmux/core/Upstreams.java
+++ b/pooler/src/main/java/holdmux/core/Upstreams.java
@@ -1,8 +1,6 @@
 package holdmux.core;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -11,27 +9,19 @@
     private final Fleet fleet;
     private final Upstream usual;
     private final Map<String, Upstream> byKind = new HashMap<>();
-    private final List<Upstream> all = new ArrayList<>();
 
     /** {@code usual} serves every kind that is not named later. */
     public Upstreams(Fleet fleet, Upstream usual) {
         this.fleet = fleet;
         this.usual = usual;
-        all.add(usual);
     }
 
     /** Servers of these kinds are reached by this upstream; before the first list. */
     public void add(Set<String> kinds, Upstream upstream) {
         kinds.forEach(kind -> byKind.put(kind, upstream));
-        all.add(upstream);
     }
 
     public Upstream of(long store) {
         return byKind.isEmpty() ? usual : byKind.getOrDefault(fleet.kind(store), usual);
     }
-
-    /** Connections held to servers of every protocol. */
-    public int held() {
-        return all.stream().mapToInt(Upstream::held).sum();
-    }
 }
--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -88,6 +88,11 @@
         message(message -> message.begin('C').put(write ? "INSERT 0 1" : "SELECT 1").end().readyForQuery());
     }
 
+    /** A write that another protocol's server carried out without a row. */
+    void updated(long rows) throws IOException {
+        message(message -> message.begin('C').put("INSERT 0 " + rows).end().readyForQuery());
+    }
+
     /** PgBouncer's SHOW STATS: the counters, a row each. */
     void stats(Counters counters) throws IOException {
         message(message -> {
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -10,6 +10,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Log;
 import holdmux.core.Request;
+import holdmux.core.Updated;
 import holdmux.core.Value;
 import holdmux.statement.Buffers;
 import holdmux.statement.SqlState;
@@ -396,6 +397,8 @@
                         counters.count(Counter.LONG_ANSWERS);
                     }
                     same.relayTo(out);
+                } else if (value instanceof Updated updated) {
+                    out.updated(updated.rows());
                 } else {
                     out.cell((Cell) value, statement.write);
                 }
--- a/pooler/src/main/java/holdmux/pg/PgUpstream.java
+++ b/pooler/src/main/java/holdmux/pg/PgUpstream.java
@@ -8,6 +8,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Reply;
+import holdmux.core.ServerSlots;
 import holdmux.core.Shared;
 import holdmux.core.Upstream;
 import holdmux.core.Value;
@@ -27,10 +28,10 @@
     private final ServerPool servers;
 
     public PgUpstream(Caps caps, Fleet fleet, Clock clock, Deadlines deadlines, Counters counters,
-            Supplier<Deployment> deployment, Shared shared) {
+            Supplier<Deployment> deployment, Shared shared, ServerSlots slots) {
         // buffers apart from the clients', so that slow clients cannot starve the servers' side
         servers = new ServerPool(fleet, clock, deadlines, counters,
-                new Buffers(caps.answerBytes(), Buffers.SIZE, shared::present), deployment, caps.servers(), shared);
+                new Buffers(caps.answerBytes(), Buffers.SIZE, shared::present), deployment, slots);
     }
 
     @Override
@@ -71,9 +72,4 @@
     public void closeIdle(long store) {
         servers.closeAllIdle(store);
     }
-
-    @Override
-    public int held() {
-        return servers.held();
-    }
 }
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -2,6 +2,7 @@
 
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
+import holdmux.core.IdleConnections;
 import holdmux.core.ServerStatus;
 import holdmux.statement.Buffers;
 import java.io.Closeable;
@@ -18,12 +19,12 @@
  * One connection to a server: blocking, one request at a time. A channel rather than a Socket, because only a
  * channel can be looked into without waiting; there is no selector.
  */
-final class ServerConnection implements Closeable {
+final class ServerConnection implements Closeable, IdleConnections.Connection {
     /** A server that gives nothing more of an answer for so long has vanished: far beyond a slow writer's pauses. */
     private static final long SILENT_NS = 5_000 * Clock.MS;
 
-    final long store;
-    final InetSocketAddress address;
+    private final long store;
+    private final InetSocketAddress address;
     private final SocketChannel channel;
     private final Buffers buffers;
 
@@ -131,8 +132,18 @@
         }
     }
 
-    /** Whether an idle connection still stands with nothing to be read: neither an end nor a late word. */
-    boolean clean() {
+    @Override
+    public long store() {
+        return store;
+    }
+
+    @Override
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    @Override
+    public boolean clean() {
         try {
             channel.configureBlocking(false);
             int got = channel.read(ByteBuffer.allocate(1));
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -8,9 +8,10 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Deadlines.Deadline;
 import holdmux.core.Fleet;
+import holdmux.core.IdleConnections;
 import holdmux.core.Reply;
+import holdmux.core.ServerSlots;
 import holdmux.core.ServerStatus;
-import holdmux.core.Shared;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.statement.Buffers;
 import holdmux.statement.SqlState;
@@ -18,50 +19,38 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
-/** Connections to servers, kept while idle and used again, the latest first. */
+/** Talks to servers, one request at a time on a connection; keeps connections while idle. */
 final class ServerPool {
-    /** Part of the servers' idle time after which we close first: half leaves no race with the server's close. */
-    private static final int IDLE_PART = 2;
     /** Holds a startup packet. */
     private static final int OWN_MESSAGES = 128;
 
-    private record Idle(ServerConnection connection, Deadline close) {}
-
     private final Fleet fleet;
-    private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Buffers buffers;
     private final Supplier<Deployment> deployment;
     private final ServerStatus.Form form;
-    private final int most;
-    private final Shared shared;
-    private final Map<Long, Deque<Idle>> idle = new HashMap<>();
+    private final ServerSlots slots;
+    private final IdleConnections<ServerConnection> idle;
     /** Connections of answers that have begun and are still to be passed on. */
     private final Map<Answer, ServerConnection> begun = new ConcurrentHashMap<>();
-    private int held;
 
-    /** {@code most}: connections at once. */
     ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
-            Supplier<Deployment> deployment, int most, Shared shared) {
+            Supplier<Deployment> deployment, ServerSlots slots) {
         this.fleet = fleet;
-        this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         this.buffers = buffers;
         this.deployment = deployment;
         form = ServerStatus.Form.of(deployment.get());
-        this.most = most;
-        this.shared = shared;
+        this.slots = slots;
+        idle = new IdleConnections<>(fleet, clock, deadlines, counters, slots, () -> deployment.get().connIdleNs());
     }
 
     /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
@@ -70,7 +59,7 @@
         boolean clean = false;
         boolean kept = false;
         try {
-            connection = take(attempt.store);
+            connection = idle.take(attempt.store);
             if (connection != null) {
                 counters.count(Counter.SERVER_REUSES);
                 if (!attempt.carriedBy(connection)) {
@@ -153,106 +142,35 @@
     void giveBack(Answer answer) {
         ServerConnection unread = begun.remove(answer);
         if (unread != null) {
-            discard(unread);
+            idle.discard(unread);
         }
         buffers.give(answer.buffer);
     }
 
-    /** An idle connection that still stands, or null. */
-    private ServerConnection take(long store) {
-        while (true) {
-            Idle found;
-            synchronized (this) {
-                Deque<Idle> of = idle.get(store);
-                found = of == null ? null : of.pollLast();
-            }
-            if (found == null) {
-                return null;
-            }
-            deadlines.cancel(found.close());
-            ServerConnection connection = found.connection();
-            if (connection.address.equals(fleet.address(store)) && connection.clean()) {
-                return connection;
-            }
-            counters.count(Counter.SERVER_STALE_CLOSES);
-            discard(connection);
-        }
-    }
-
     /** A new connection, not yet opened; null if the server is gone or this pooler holds all it may. */
     private ServerConnection connection(long store) throws IOException {
         InetSocketAddress address = fleet.address(store);
-        if (address == null || !reserve()) {
+        if (address == null || !slots.reserve()) {
             return null;
         }
         try {
             return new ServerConnection(store, address, buffers);
         } catch (IOException e) {
-            unreserve();
+            slots.unreserve();
             throw e;
         }
     }
 
-    private boolean reserve() {
-        synchronized (this) {
-            if (held < most - shared.servers()) {
-                held++;
-                return true;
-            }
-        }
-        counters.count(Counter.OVER_CAPACITY);
-        return false;
-    }
-
-    /** Connections held now, in use or idle. */
-    synchronized int held() {
-        return held;
-    }
-
-    private synchronized void unreserve() {
-        held--;
-    }
-
-    private void discard(ServerConnection connection) {
-        connection.close();
-        unreserve();
-    }
-
     private void release(ServerConnection connection, boolean clean) {
-        if (!clean) {
-            discard(connection);
-            return;
-        }
-        synchronized (this) {
-            Deque<Idle> of = idle.computeIfAbsent(connection.store, s -> new ArrayDeque<>());
-            long closeAt = clock.now() + deployment.get().connIdleNs() / IDLE_PART;
-            of.addLast(new Idle(connection, deadlines.at(closeAt, () -> closeIdle(connection))));
-        }
-    }
-
-    private void closeIdle(ServerConnection connection) {
-        boolean was;
-        synchronized (this) {
-            Deque<Idle> of = idle.get(connection.store);
-            was = of.removeIf(i -> i.connection() == connection);
-        }
-        if (was) {
-            counters.count(Counter.SERVER_IDLE_CLOSES);
-            discard(connection);
+        if (clean) {
+            idle.keep(connection);
+        } else {
+            idle.discard(connection);
         }
     }
 
     /** Closes all idle connections to a server. */
     void closeAllIdle(long store) {
-        Deque<Idle> of;
-        synchronized (this) {
-            of = idle.remove(store);
-        }
-        if (of != null) {
-            of.forEach(i -> {
-                deadlines.cancel(i.close());
-                discard(i.connection());
-            });
-        }
+        idle.closeAll(store);
     }
 }
--- a/pooler/src/main/java/holdmux/statement/Statement.java
+++ b/pooler/src/main/java/holdmux/statement/Statement.java
@@ -162,6 +162,17 @@
         return hash == 0 ? 1 : hash; // 0 stands for no session
     }
 
+    /** How many bytes its text has. */
+    public int length() {
+        return text.length;
+    }
+
+    /** Copies its text, as it was parsed. */
+    public void copyTo(byte[] bytes) {
+        ByteBuffer copy = ByteBuffer.wrap(bytes);
+        text.views(0, text.length).forEach(copy::put);
+    }
+
     /** The text for a server that is given this long, in pieces. */
     public List<ByteBuffer> text(long limitMs) {
         List<ByteBuffer> parts = new ArrayList<>();
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -49,11 +49,6 @@
         @Override
         public void closeIdle(long store) { }
 
-        @Override
-        public int held() {
-            return 0;
-        }
-
         @Override
         public Value.Form form() {
             return Value.Form.CELL;
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -9,6 +9,7 @@
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
+import holdmux.core.ServerSlots;
 import holdmux.core.Services;
 import holdmux.core.Shared;
 import holdmux.core.Upstreams;
@@ -94,10 +95,11 @@
         Balancer balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
                 fleet, workers);
         Shared shared = new Shared();
+        ServerSlots slots = new ServerSlots(config.caps().servers(), shared, counters);
         balancer.connect(new Upstreams(fleet, new PgUpstream(config.caps(), fleet, clock, deadlines, counters,
-                balancer::deployment, shared))::of);
+                balancer::deployment, shared, slots))::of);
         front = new PgFront(new Services(config, balancer, new Admission(balancer::deployment, fleet), fleet, clock,
-                deadlines, counters, workers, shared), ready);
+                deadlines, counters, workers, shared, slots), ready);
         front.listen();
         balancer.listChanged(config.known(), true);
         Workers.thread("deadlines", deadlines::run).start();
--- /dev/null
+++ b/standins/src/main/java/holdmux/standins/QuoteGroup.java
@@ -0,0 +1,171 @@
+package holdmux.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One group of quote servers as data: a log of writes, members that have applied it up to some place, who is primary,
+ * faults waiting for requests, and how often each request ran. Servers of either protocol play it.
+ */
+public final class QuoteGroup {
+    private static final Pattern ID = Pattern.compile("\\bid=([^,*\\s]+)");
+    private static final Pattern LITERAL = Pattern.compile("'((?:[^']|'')*)'");
+
+    /** One server of the group; {@code lagMs} is how far its data is behind. */
+    public static final class Member {
+        public final String name;
+        volatile long lagMs;
+        volatile boolean draining;
+        private volatile int running;
+
+        Member(String name) {
+            this.name = name;
+        }
+    }
+
+    /** One write in the log: its commit as Unix time in milliseconds. */
+    private record Entry(long commitMs, String key, byte[] value) {}
+
+    /** A statement as a server reads it. */
+    record Asked(String id, boolean write, String key, byte[] value, boolean returning) {
+        static Asked of(String sql) {
+            Matcher id = ID.matcher(sql);
+            Matcher literal = LITERAL.matcher(sql);
+            String key = literal.find() ? literal.group(1).replace("''", "'") : "";
+            String value = literal.find() ? literal.group(1) : "";
+            byte[] bytes = value.startsWith("\\x") ? HexFormat.of().parseHex(value.substring(2))
+                    : value.getBytes(StandardCharsets.UTF_8);
+            String upper = sql.stripLeading().toUpperCase(java.util.Locale.ROOT);
+            return new Asked(id.find() ? id.group(1) : "", upper.startsWith("INSERT"), key, bytes,
+                    upper.contains("RETURNING"));
+        }
+    }
+
+    /** The wrong server for this request: no primary for a write. */
+    static final class MissException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        MissException() {
+            super("cannot execute INSERT in a read-only transaction");
+        }
+    }
+
+    private final Map<String, Member> members = new HashMap<>();
+    private final List<Entry> log = new ArrayList<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Map<String, List<String>> ranAt = new HashMap<>();
+    private final Map<String, Deque<Fault>> faults = new HashMap<>();
+    private String primary;
+    private long lastCommitMs;
+
+    /** Adds a member; the first is the primary. */
+    public synchronized Member add(String name) {
+        Member member = new Member(name);
+        members.put(name, member);
+        primary = primary == null ? name : primary;
+        return member;
+    }
+
+    /** Makes another member the primary. */
+    public synchronized void lead(String name) {
+        primary = name;
+    }
+
+    public synchronized boolean leads(Member member) {
+        return member.name.equals(primary);
+    }
+
+    /** Lets a replica's data be so far behind. */
+    public void lag(String name, long ms) {
+        member(name).lagMs = ms;
+    }
+
+    synchronized Member member(String name) {
+        return members.get(name);
+    }
+
+    /** The next runs of this request meet these faults, one each, whichever server they come to. */
+    public synchronized void plan(String id, Fault... planned) {
+        faults.computeIfAbsent(id, i -> new ArrayDeque<>()).addAll(List.of(planned));
+    }
+
+    /** What a request meets that has come whole to a server; null for nothing. */
+    synchronized Fault fault(String id) {
+        Deque<Fault> planned = faults.get(id);
+        return planned == null ? null : planned.poll();
+    }
+
+    /** Runs a request: what it gives, or that this server may not take it, by which it has not run. */
+    byte[] run(Member member, Asked asked) throws MissException {
+        synchronized (this) {
+            if (asked.write() && !leads(member)) {
+                throw new MissException();
+            }
+            runs.merge(asked.id(), 1, Integer::sum);
+            ranAt.computeIfAbsent(asked.id(), i -> new ArrayList<>()).add(member.name);
+            if (asked.write()) {
+                lastCommitMs = Math.max(lastCommitMs + 1, System.currentTimeMillis());
+                log.add(new Entry(lastCommitMs, asked.key(), asked.value()));
+                return asked.value();
+            }
+            long applied = positionMs(member);
+            for (int i = log.size() - 1; i >= 0; i--) {
+                if (log.get(i).key().equals(asked.key()) && log.get(i).commitMs() <= applied) {
+                    return log.get(i).value();
+                }
+            }
+            return ("quote " + asked.key()).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Up to where a member has the log, as Unix time in milliseconds; of the primary never before its last commit. */
+    synchronized long positionMs(Member member) {
+        long now = System.currentTimeMillis();
+        return leads(member) ? Math.max(now, lastCommitMs) : now - member.lagMs;
+    }
+
+    /** A load report in the form of the wire. */
+    String pressure(Member member) {
+        return "x0=" + positionMs(member) / 1000.0 + ",x1=" + (leads(member) ? 1 : 0) + ",inflight=" + member.running
+                + ",util=" + Math.min(1, member.running / 4.0);
+    }
+
+    String role(Member member) {
+        return leads(member) ? "primary" : "standby";
+    }
+
+    void begins(Member member) {
+        synchronized (member) {
+            member.running++;
+        }
+    }
+
+    void ends(Member member) {
+        synchronized (member) {
+            member.running--;
+        }
+    }
+
+    /** How often each request ran, by id. */
+    public synchronized Map<String, Integer> runs() {
+        return Map.copyOf(runs);
+    }
+
+    /** The servers that ran a request, in order. */
+    public synchronized List<String> ranAt(String id) {
+        return List.copyOf(ranAt.getOrDefault(id, List.of()));
+    }
+
+    /** How many writes the log holds under a key. */
+    public synchronized long writes(String key) {
+        return log.stream().filter(entry -> entry.key().equals(key)).count();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/holdmux/standins/StandIns.java
@@ -0,0 +1,105 @@
+package holdmux.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.arrow.memory.BufferAllocator;
+import org.apache.arrow.memory.RootAllocator;
+
+/** A whole small deployment on loopback: one group, its servers, discovery, and the configuration of a pooler there. */
+public final class StandIns implements AutoCloseable {
+    /** The kinds under which discovery lists servers of each protocol. */
+    public static final String PG_KIND = "pg", FLIGHT_KIND = "flight";
+    public static final int GROUP = 1;
+
+    private final QuoteGroup group = new QuoteGroup();
+    private final Map<String, InetSocketAddress> dials = new LinkedHashMap<>();
+    private final Map<String, String> kinds = new LinkedHashMap<>();
+    private final List<AutoCloseable> parts = new ArrayList<>();
+    private final BufferAllocator allocator = new RootAllocator();
+    private final DiscoveryAgent agent = new DiscoveryAgent();
+
+    public StandIns() throws IOException {
+        parts.add(agent);
+    }
+
+    public QuoteGroup group() {
+        return group;
+    }
+
+    /** Starts a server of this kind; the first one is the primary. */
+    public void start(String name, String kind) throws IOException {
+        QuoteGroup.Member member = group.add(name);
+        if (kind.equals(FLIGHT_KIND)) {
+            FlightQuoteServer server = new FlightQuoteServer(group, member, allocator);
+            parts.add(server);
+            dials.put(name, server.address());
+        } else {
+            PgQuoteServer server = new PgQuoteServer(group, member);
+            parts.add(server);
+            dials.put(name, server.address());
+        }
+        kinds.put(name, kind);
+        list(name, "up");
+    }
+
+    /** Lists a server with this health: up, draining or removed. */
+    public void list(String name, String health) {
+        agent.put(name, dials.get(name), kinds.get(name), GROUP, health, group.leads(group.member(name)));
+    }
+
+    /** Where a server listens. */
+    public InetSocketAddress address(String name) {
+        return dials.get(name);
+    }
+
+    /** A port that nobody listens on; below those that the system gives to outgoing connections, which could take it. */
+    public static synchronized int freePort() throws IOException {
+        while (true) {
+            int port = 20_000 + new java.util.Random().nextInt(10_000);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (java.net.BindException e) {
+                // another one
+            }
+        }
+    }
+
+    /** The configuration of a pooler of this deployment, in the platform's form. */
+    public String config(int port, int memoryMb, int sockets) {
+        String classes = type("rate-lookup", "idempotent", 300, 1_200, 1) + "," + type("my-quotes", "idempotent", 300, 1_000, 1)
+                + "," + type("history", "idempotent", 500, 1_500, 2) + "," + type("quote-check", "idempotent", 600, 2_000, 1)
+                + "," + type("save-quote", "at_most_once", 1_500, 5_000, 3);
+        return "{\"name\":\"demo\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+                + agent.address().getPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+                + memoryMb + ",\"sockets\":" + sockets + "},\"known\":" + agent.list(0) + ",\"settings\":{"
+                + "\"allowed\":{\"cancel\":true,\"conn-idle-ns\":15000000000,\"connect-timeout-ns\":250000000,"
+                + "\"max-attempts\":6,\"max-retry-after-ns\":500000000,\"may-duplicate\":true,\"peers\":false,"
+                + "\"probes\":true,\"retry-after\":true},\"balancers\":1,\"discovery\":\"automatic\","
+                + "\"family-info\":{\"class-bound-ns\":[300000000,0,0,0,0],\"consistency\":[\"bounded\",\"session\",\"any\","
+                + "\"fresh\",\"write\"],\"guards\":\"off\",\"shows-role\":\"late\",\"token-mode\":\"remembered\","
+                + "\"wait-ns\":0,\"zero-ns\":5},\"guarantees\":{\"answer-slack-ns\":20000000,\"cold-share\":0.15,"
+                + "\"drain-grace-ns\":2000000000,\"fall-ns\":1500000000,\"overload-factor\":2.0,"
+                + "\"ramp-time-ns\":13000000000},\"me\":0,\"over-share-worth\":0.1,\"report\":{\"fields\":[\"x0\",\"x1\","
+                + "\"outstanding\",\"utilization\"],\"how\":\"inline\"},\"request-classes\":[" + classes + "],\"skus\":[\""
+                + PG_KIND + "\",\"" + FLIGHT_KIND + "\"],\"step-ns\":5000000,\"tenants\":[],\"zone\":0,\"zones\":[\"north\"]}}";
+    }
+
+    private static String type(String name, String effect, long wantedMs, long deadlineMs, int worth) {
+        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"on-time-ns\":" + wantedMs * 1_000_000L
+                + ",\"deadline-ns\":" + deadlineMs * 1_000_000L + ",\"worth\":" + worth + ".0,\"late-worth\":0.2}";
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+        allocator.close();
+    }
+}
