Set the Flight side by flags of serve, and add holdmux demo

Free ports of tests are never given out twice: with SO_REUSEPORT two rigs could share one, seen once as an EOF.

--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -1,17 +1,27 @@
 package holdmux.app;
 
 import holdmux.Serve;
+import holdmux.app.demo.Demo;
+import holdmux.config.Config;
+import holdmux.config.ConfigException;
+import holdmux.flight.FlightPart;
 import holdmux.simhost.SimHost;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.TypeConversionException;
 
 /** The command line: names, options, help and exit codes; what a command does stands elsewhere. */
 @Command(name = "holdmux", description = "Routes each request to the one server of its group that may answer it.",
-        subcommands = {Commands.ServeCommand.class, Commands.SimHostCommand.class, Commands.VersionCommand.class,
+        subcommands = {Commands.ServeCommand.class, Commands.SimHostCommand.class, Commands.DemoCommand.class, Commands.VersionCommand.class,
             HelpCommand.class},
         synopsisSubcommandLabel = "COMMAND", footer = {"", "Exit codes: 0 done, 1 a fault, 2 wrong usage."})
 final class Commands {
@@ -36,9 +46,57 @@
                 "  BALANCER_LISTEN, BALANCER_DISCOVERY, BALANCER_MANAGEMENT, BALANCER_NAME",
                 "                       have the last word over the file"})
     static final class ServeCommand implements Callable<Integer> {
+        @Option(names = "--flight", paramLabel = "ADDRESS", converter = AddressConverter.class,
+                description = "Also serve Arrow Flight SQL at this numeric address and port, as 127.0.0.1:32010.")
+        private InetSocketAddress flight;
+
+        @Option(names = "--flight-kinds", paramLabel = "KIND", split = ",",
+                description = "Kinds of server, as discovery names them, that speak Flight SQL; the others speak PostgreSQL.")
+        private Set<String> flightKinds = Set.of();
+
         @Override
         public Integer call() throws IOException {
-            return Serve.run(List.of());
+            boolean on = flight != null || !flightKinds.isEmpty();
+            return Serve.run(on ? List.of(new FlightPart(flight, flightKinds)) : List.of());
+        }
+    }
+
+    private static final class AddressConverter implements ITypeConverter<InetSocketAddress> {
+        @Override
+        public InetSocketAddress convert(String text) {
+            try {
+                return Config.address(text);
+            } catch (ConfigException e) {
+                throw new TypeConversionException(e.getMessage());
+            }
+        }
+    }
+
+    @Command(name = "demo", mixinStandardHelpOptions = true,
+            description = "Starts a stand-in group, discovery and a pooler with both fronts, and sends a small load.")
+    static final class DemoCommand implements Callable<Integer> {
+        @Option(names = "--for", paramLabel = "DURATION", defaultValue = "10s", converter = DurationConverter.class,
+                description = "How long the load lasts, as 10s or 2m (default: ${DEFAULT-VALUE}).")
+        private Duration length;
+
+        @Option(names = "--stay", description = "Goes on serving after the load, until Ctrl-C.")
+        private boolean stay;
+
+        @Override
+        public Integer call() throws Exception {
+            return new Demo(length, stay, System.out).run();
+        }
+    }
+
+    private static final class DurationConverter implements ITypeConverter<Duration> {
+        @Override
+        public Duration convert(String text) {
+            if (!text.matches("[1-9][0-9]{0,5}(ms|s|m)")) {
+                throw new TypeConversionException("not a duration: " + text);
+            }
+            long number = Long.parseLong(text.replaceAll("[a-z]", ""));
+            return text.endsWith("ms") ? Duration.ofMillis(number)
+                    : text.endsWith("s") ? Duration.ofSeconds(number) : Duration.ofMinutes(number);
         }
     }
 
--- /dev/null
+++ b/app/src/main/java/holdmux/app/demo/QuoteClient.java
@@ -0,0 +1,10 @@
+package holdmux.app.demo;
+
+/** One connection of the demo's load, over either front. */
+interface QuoteClient extends AutoCloseable {
+    /** How a request ended for its client. */
+    enum Ending { SERVED, REFUSED, FAILED }
+
+    /** Asks, and waits for the one final answer. */
+    Ending ask(String sql);
+}
--- a/standins/src/main/java/holdmux/standins/StandIns.java
+++ b/standins/src/main/java/holdmux/standins/StandIns.java
@@ -17,6 +17,9 @@
     public static final String PG_KIND = "pg", FLIGHT_KIND = "flight";
     public static final int GROUP = 1;
 
+    private static final int FIRST_PORT = 20_000, PORTS = 10_000;
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 97 % PORTS);
+
     private final QuoteGroup group = new QuoteGroup();
     private final Map<String, InetSocketAddress> dials = new LinkedHashMap<>();
     private final Map<String, String> kinds = new LinkedHashMap<>();
@@ -58,10 +61,13 @@
         return dials.get(name);
     }
 
-    /** A port that nobody listens on; below those that the system gives to outgoing connections, which could take it. */
+    /**
+     * A port that nobody listens on, and never the same one twice: listeners of ours may share one. Below those that the
+     * system gives to outgoing connections, which could take it.
+     */
     public static synchronized int freePort() throws IOException {
         while (true) {
-            int port = 20_000 + new java.util.Random().nextInt(10_000);
+            int port = FIRST_PORT + nextPort++ % PORTS;
             try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return free.getLocalPort();
             } catch (java.net.BindException e) {
