--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -18,6 +18,7 @@
 import picocli.CommandLine.HelpCommand;
 import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 import picocli.CommandLine.TypeConversionException;
 
 /** The command line: names, options, help and exit codes; what a command does stands elsewhere. */
@@ -97,9 +98,13 @@
                 description = "Pairs of each comparison (default: ${DEFAULT-VALUE}).")
         private int rounds;
 
+        @Parameters(arity = "0..1", defaultValue = "", paramLabel = "PART",
+                description = "tables, reads, fronts or memory; all of them where none is named.")
+        private String part;
+
         @Override
         public Integer call() throws Exception {
-            return new FlightBench(Math.max(1, rounds), System.out).run();
+            return new FlightBench(Math.max(1, rounds), System.out).run(part);
         }
     }
 
--- a/flight/src/main/java/holdmux/flight/CallGate.java
+++ b/flight/src/main/java/holdmux/flight/CallGate.java
@@ -56,7 +56,7 @@
             Context context = Context.current();
             Object connection = call.getAttributes().get(Grpc.TRANSPORT_ATTR_REMOTE_ADDR);
             Context with = context.withValue(Caller.KEY,
-                    new Caller(connection, headers, context.getDeadline(), connections));
+                    new Caller(connection, headers, context.getDeadline(), connections, call::setOnReadyThreshold));
             return new SimpleForwardingServerCallListener<>(Contexts.interceptCall(with, call, headers, next)) {
                 @Override
                 public void onComplete() {
--- a/flight/src/main/java/holdmux/flight/Caller.java
+++ b/flight/src/main/java/holdmux/flight/Caller.java
@@ -4,9 +4,10 @@
 import io.grpc.Deadline;
 import io.grpc.Metadata;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 /** Who made a call: its connection, its headers, how long it waits (null for ever), and the means to cut it off. */
-record Caller(Object connection, Metadata headers, Deadline deadline, Connections connections) {
+record Caller(Object connection, Metadata headers, Deadline deadline, Connections connections, IntConsumer threshold) {
     static final Context.Key<Caller> KEY = Context.key("caller");
 
     static Caller now() {
@@ -23,6 +24,11 @@
         return deadline == null ? Long.MAX_VALUE : deadline.timeRemaining(TimeUnit.NANOSECONDS);
     }
 
+    /** From now on the call takes more while no more than this many bytes wait to be written on it. */
+    void readyBelow(int bytes) {
+        threshold.accept(bytes);
+    }
+
     /** Ends the connection at once: a status would queue up behind what its client does not take. */
     void cutOff() {
         connections.cutOff(connection);
--- a/flight/src/main/java/holdmux/flight/FlightLimits.java
+++ b/flight/src/main/java/holdmux/flight/FlightLimits.java
@@ -10,7 +10,7 @@
         int messageBytes) {
     /** Figures and a few of the client's own headers fit many times over. */
     static final int METADATA_BYTES = 8 * 1024;
-    /** What a peer may send before it is told to go on: a batch of the usual size without a pause on loopback. */
+    /** What a peer may send before it is told to go on, of each stream: held beside the budget where nobody asks for it. */
     static final int WINDOW_BYTES = 1 << 20;
     /** A statement rides in its ticket; longer values come in over PostgreSQL. */
     static final int STATEMENT_BYTES = 1 << 20;
--- a/flight/src/main/java/holdmux/flight/FlightPart.java
+++ b/flight/src/main/java/holdmux/flight/FlightPart.java
@@ -9,19 +9,21 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.arrow.memory.BufferAllocator;
 import org.apache.arrow.memory.RootAllocator;
 
 /** Arrow Flight SQL beside PostgreSQL: a front where an address is given, an upstream for the kinds that speak it. */
 public final class FlightPart implements Part, AutoCloseable {
-    /** One for accepting and calls, one for servers: loops only move bytes, lives have workers. */
+    /** On each side: loops only move bytes, lives have workers. */
     private static final int LOOPS = 2;
 
     private final InetSocketAddress listen;
     private final Set<String> kinds;
     private FlightLimits limits;
     private BufferAllocator allocator;
-    private EventLoopGroup loops;
+    /** The clients' side and the servers', apart, so that a table does not come and go on one thread. */
+    private EventLoopGroup clientLoops, serverLoops;
     private Budget budget;
 
     /** {@code listen}: null for no front; {@code kinds}: the servers' kinds that speak Flight SQL, as discovery names them. */
@@ -34,7 +36,8 @@
         if (limits == null) {
             limits = FlightLimits.of(services.config());
             allocator = new RootAllocator(limits.allocatorBytes());
-            loops = new NioEventLoopGroup(LOOPS, new DefaultThreadFactory("flight", true));
+            clientLoops = new NioEventLoopGroup(LOOPS, new DefaultThreadFactory("flight-clients", true));
+            serverLoops = new NioEventLoopGroup(LOOPS, new DefaultThreadFactory("flight-servers", true));
             budget = new Budget(limits.streamBytes());
         }
     }
@@ -47,7 +50,7 @@
     @Override
     public Upstream upstream(Services services) {
         begin(services);
-        return new FlightUpstream(services, limits, budget, new Ipc(allocator), loops);
+        return new FlightUpstream(services, limits, budget, new Ipc(allocator), serverLoops);
     }
 
     @Override
@@ -58,7 +61,7 @@
         begin(services);
         String version = FlightPart.class.getPackage().getImplementationVersion();
         return new FlightFront(listen, services, limits, new Ipc(allocator),
-                new Catalog(allocator, version == null ? "work tree" : version), loops);
+                new Catalog(allocator, version == null ? "work tree" : version), clientLoops);
     }
 
     /** Bytes of tables on their way now. */
@@ -70,7 +73,8 @@
     @Override
     public synchronized void close() {
         if (limits != null) {
-            loops.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+            clientLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+            serverLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
             allocator.close();
         }
     }
--- a/flight/src/main/java/holdmux/flight/FlightReply.java
+++ b/flight/src/main/java/holdmux/flight/FlightReply.java
@@ -19,6 +19,8 @@
  */
 final class FlightReply implements Client {
     private static final long MS = 1_000_000L;
+    /** gRPC's own bound: small messages gather up to this. */
+    private static final int LEAST_WAITING = 32 * 1024;
 
     private final ServerCallStreamObserver<byte[]> out;
     private final Caller caller;
@@ -102,9 +104,9 @@
         }
     }
 
-    /** Returns once what was sent has gone on its way, so that no more than one message waits here. */
+    /** Returns once all before this message has gone on its way, so that one more may wait behind it, not two. */
     private void send(byte[] frame) throws IOException {
-        awaitReady();
+        caller.readyBelow(Math.max(LEAST_WAITING, frame.length));
         out.onNext(frame);
         awaitReady();
     }
--- a/flight/src/main/java/holdmux/flight/ServerCall.java
+++ b/flight/src/main/java/holdmux/flight/ServerCall.java
@@ -13,14 +13,16 @@
 import java.util.function.ToLongFunction;
 
 /**
- * One call to a server, read by a thread that blocks: one message asked for ahead of the one that is passed on, never
- * more. Notes what the server tells of itself and what proves whether it took the request up.
+ * One call to a server, read by a thread that blocks: a message or two come ahead of the one that is passed
+ * on, never more. Notes what the server tells of itself and what proves whether it took the request up.
  */
 final class ServerCall<Q, A> extends ClientCall.Listener<A> {
     /** The first message is a schema or a small table; later ones are guessed by the one before. */
     private static final long FIRST_GUESS = 64 * 1024;
     /** Waiting longer for room helps no answer, as with the other protocol's buffers. */
     private static final long ROOM_MS = 100;
+    /** Messages that may wait here for their reader: one comes in while one goes out. */
+    private static final int AHEAD = 2;
     private static final List<Metadata.Key<String>> TOLD = List.of(ServerStatus.ROLE, ServerStatus.POSITION,
             ServerStatus.REPORT).stream().map(n -> Metadata.Key.of(n, Metadata.ASCII_STRING_MARSHALLER)).toList();
 
@@ -111,16 +113,19 @@
     }
 
     @Override
-    public synchronized void onMessage(A message) {
-        long length = size.applyAsLong(message);
-        if (closed) {
-            return; // what was asked for is given back at the end
+    public void onMessage(A message) {
+        synchronized (this) {
+            if (closed) {
+                return; // what was asked for is given back at the end
+            }
+            long length = size.applyAsLong(message);
+            budget.adjust(length - asked);
+            asked = 0;
+            guess = length;
+            come.add(message);
+            notifyAll();
         }
-        budget.adjust(length - asked);
-        asked = 0;
-        guess = length;
-        come.add(message);
-        notifyAll();
+        askAhead();
     }
 
     @Override
@@ -156,7 +161,7 @@
      * @param silentMs the server may give nothing for so long, 0 for ever
      */
     A next(long silentMs) throws EndedException, NoRoomException, InterruptedException {
-        ask(silentMs == 0 ? ROOM_MS : silentMs);
+        askNow(silentMs == 0 ? ROOM_MS : silentMs);
         long by = System.nanoTime() + silentMs * 1_000_000L;
         A message;
         synchronized (this) {
@@ -172,7 +177,7 @@
             }
             message = come.poll();
         }
-        ask(0);
+        askAhead();
         return message;
     }
 
@@ -181,8 +186,19 @@
         budget.give(size.applyAsLong(message));
     }
 
-    /** Asks for one more message where none is on its way; {@code waitMs}: waits for room, 0 where it can be done later. */
-    private void ask(long waitMs) throws NoRoomException, InterruptedException {
+    /** Asks for one more message where there is room now, so that the server need not wait for the client. */
+    private void askAhead() {
+        synchronized (this) {
+            if (asked > 0 || status != null || closed || come.size() >= AHEAD || !budget.tryTake(guess)) {
+                return;
+            }
+            asked = guess;
+        }
+        call.request(1);
+    }
+
+    /** Asks for the message that is needed now, where none is on its way; waits so long for room. */
+    private void askNow(long waitMs) throws NoRoomException, InterruptedException {
         long room;
         synchronized (this) {
             if (asked > 0 || status != null || !come.isEmpty()) {
@@ -191,13 +207,10 @@
             room = guess;
         }
         if (!budget.take(room, waitMs)) {
-            if (waitMs > 0) {
-                throw new NoRoomException();
-            }
-            return;
+            throw new NoRoomException();
         }
         synchronized (this) {
-            if (status != null || closed) {
+            if (asked > 0 || status != null || closed) {
                 budget.give(room);
                 return;
             }
--- a/flight/src/main/java/holdmux/flight/Table.java
+++ b/flight/src/main/java/holdmux/flight/Table.java
@@ -17,7 +17,8 @@
     private final Deque<byte[]> come;
     private final ServerCall<?, byte[]> rest;
     private final Release release;
-    private byte[] last;
+    /** The message passed on last and the one before: both may still wait to be written. */
+    private byte[] last, before;
     private boolean whole;
 
     /** A table of which all has come; nothing is held for it. */
@@ -41,13 +42,14 @@
     }
 
     /**
-     * The next message; the one before it must have been passed on.
+     * The next message; of those before it all but the last have been written by now.
      *
      * @return null at the end of the whole table
      * @throws IOException if the server cut it off
      */
     byte[] next() throws IOException {
-        passedOn();
+        passedOn(before);
+        before = last;
         last = come.poll();
         try {
             if (last == null && rest != null) {
@@ -70,16 +72,16 @@
         }
     }
 
-    private void passedOn() {
-        if (last != null && rest != null) {
-            rest.passed(last);
+    private void passedOn(byte[] frame) {
+        if (frame != null && rest != null) {
+            rest.passed(frame);
         }
-        last = null;
     }
 
     @Override
     public void close() {
-        passedOn();
+        passedOn(before);
+        passedOn(last);
         if (rest != null) {
             come.forEach(rest::passed);
             come.clear();
--- a/flight/src/main/java/holdmux/flight/Tickets.java
+++ b/flight/src/main/java/holdmux/flight/Tickets.java
@@ -42,7 +42,7 @@
     private static final int HEAD = 1 + 2 * Long.BYTES, SEAL = 32;
     private static final String ALGORITHM = "HmacSHA256";
 
-    private final SecretKeySpec key;
+    private final Mac keyed;
     private final int most;
     private final long lifeNs;
     /** Numbers of the tickets that are out with when they end; all live equally long, so the oldest end first. */
@@ -51,7 +51,12 @@
 
     /** {@code most}: tickets out at once; {@code lifeNs}: how long each can be redeemed. */
     Tickets(byte[] key, int most, long lifeNs) {
-        this.key = new SecretKeySpec(key, ALGORITHM);
+        try {
+            keyed = Mac.getInstance(ALGORITHM);
+            keyed.init(new SecretKeySpec(key, ALGORITHM));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("every Java has " + ALGORITHM, e);
+        }
         this.most = most;
         this.lifeNs = lifeNs;
     }
@@ -104,12 +109,11 @@
 
     private byte[] seal(byte[] bytes, int length) {
         try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(key);
+            Mac mac = (Mac) keyed.clone(); // the key's own blocks are hashed once
             mac.update(bytes, 0, length);
             return mac.doFinal();
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("every Java has " + ALGORITHM, e);
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException("Java's own " + ALGORITHM + " can be copied", e);
         }
     }
 }
