--- a/flight/src/main/java/holdmux/flight/FlightReply.java
+++ b/flight/src/main/java/holdmux/flight/FlightReply.java
@@ -5,7 +5,6 @@
 import holdmux.core.Client;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
-import holdmux.core.Request;
 import holdmux.core.Updated;
 import holdmux.core.Value;
 import io.grpc.stub.ServerCallStreamObserver;
@@ -24,19 +23,17 @@
 
     private final ServerCallStreamObserver<byte[]> out;
     private final Caller caller;
-    private final Balancer balancer;
     private final Counters counters;
     private final Ipc ipc;
     private final java.util.function.Consumer<Schema> served;
-    private Request current;
-    private boolean left;
+    private final Presence presence;
 
     /** {@code served} hears how a table looks that is passed on. */
     FlightReply(ServerCallStreamObserver<byte[]> out, Caller caller, Balancer balancer, Counters counters, Ipc ipc,
             java.util.function.Consumer<Schema> served) {
         this.out = out;
         this.caller = caller;
-        this.balancer = balancer;
+        presence = new Presence(balancer);
         this.counters = counters;
         this.ipc = ipc;
         this.served = served;
@@ -44,23 +41,13 @@
         out.setOnReadyHandler(this::wake);
     }
 
-    /** Notes the request that is under way; false if the client has left. */
-    synchronized boolean begins(Request request) {
-        current = request;
-        return !left;
+    Presence presence() {
+        return presence;
     }
 
-    /** The client has gone away, or was cut off: what it asked for is nobody's any more. */
     private void leave() {
-        Request gone;
-        synchronized (this) {
-            left = true;
-            gone = current;
-            notifyAll();
-        }
-        if (gone != null) {
-            balancer.left(gone);
-        }
+        presence.leave();
+        wake();
     }
 
     private synchronized void wake() {
@@ -115,7 +102,7 @@
         long by = System.nanoTime() + FlightLimits.STALL_MS * MS;
         try {
             for (long wait = FlightLimits.STALL_MS; !out.isReady(); wait = (by - System.nanoTime()) / MS) {
-                if (left) {
+                if (presence.isGone()) {
                     throw new IOException("the client has gone away");
                 }
                 if (wait <= 0) {
--- a/flight/src/main/java/holdmux/flight/FlightService.java
+++ b/flight/src/main/java/holdmux/flight/FlightService.java
@@ -28,7 +28,6 @@
 import java.util.UUID;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.apache.arrow.flight.impl.Flight;
 import org.apache.arrow.flight.impl.Flight.Action;
@@ -323,7 +322,7 @@
         String sql = new String(text, StandardCharsets.UTF_8);
         FlightReply reply = new FlightReply(out, Caller.now(), services.balancer(), services.counters(), ipc,
                 schema -> schemas.served(sql, schema));
-        run(statement, reply, reply::begins, out);
+        run(statement, reply, reply.presence(), out);
     }
 
     private List<byte[]> catalog(Any command) throws StatementException {
@@ -346,12 +345,8 @@
         out.onCompleted();
     }
 
-    /**
-     * Takes a statement as a request and gives it a worker for its life.
-     *
-     * @param begins hears of the request before its life; false if the client has left meanwhile
-     */
-    private void run(Statement statement, Client client, Function<Request, Boolean> begins, StreamObserver<?> out)
+    /** Takes a statement as a request and gives it a worker for its life. */
+    private void run(Statement statement, Client client, Presence presence, StreamObserver<?> out)
             throws StatementException {
         long left = timeLeftNs.getAsLong();
         if (left <= 0 || statement.write && left < Admission.waitNs(statement)) {
@@ -359,18 +354,18 @@
         }
         Request.Call call = services.admission().call(statement, Math.min(left, Caller.now().leftNs()));
         try {
-            workers.execute(() -> live(statement, client, begins, call, out));
+            workers.execute(() -> live(statement, client, presence, call, out));
         } catch (RejectedExecutionException e) {
             services.counters().count(Counter.OVER_CAPACITY);
             throw Statuses.refused("too many requests at once", 0);
         }
     }
 
-    private void live(Statement statement, Client client, Function<Request, Boolean> begins, Request.Call call,
+    private void live(Statement statement, Client client, Presence presence, Request.Call call,
             StreamObserver<?> out) {
         try {
             Request request = services.balancer().taken(call);
-            if (!begins.apply(request)) {
+            if (!presence.begins(request)) {
                 services.balancer().left(request);
             }
             services.balancer().life(request, statement, client);
@@ -427,7 +422,7 @@
     private StreamObserver<byte[]> put(StreamObserver<PutResult> observer) {
         ServerCallStreamObserver<PutResult> out = (ServerCallStreamObserver<PutResult>) observer;
         Put put = new Put(out);
-        out.setOnCancelHandler(put::leave);
+        out.setOnCancelHandler(put.presence::leave);
         return put;
     }
 
@@ -437,8 +432,7 @@
         private int bytes;
         private Any command;
         private boolean over;
-        private Request current;
-        private boolean left;
+        private final Presence presence = new Presence(services.balancer());
 
         Put(ServerCallStreamObserver<PutResult> out) {
             this.out = out;
@@ -539,23 +533,7 @@
             if (!statement.write) {
                 throw new StatementException(SqlState.SYNTAX_ERROR, "an update must write");
             }
-            run(statement, new UpdateReply(out, ipc), this::begins, out);
-        }
-
-        private synchronized boolean begins(Request request) {
-            current = request;
-            return !left;
-        }
-
-        private void leave() {
-            Request gone;
-            synchronized (this) {
-                left = true;
-                gone = current;
-            }
-            if (gone != null) {
-                services.balancer().left(gone);
-            }
+            run(statement, new UpdateReply(out, ipc), presence, out);
         }
 
         @Override
