Read tables with dictionary columns by their indices: unfit ones fail instead of being retried

A PostgreSQL client that asks a Flight server for a table was told refused: reading it made columns of the schema's types where batches of a field by dictionary hold indices, which looked like a spoilt answer and was tried again at other servers. Fields are now read as their batches hold them. The new test (a table of two columns, one too long to hold) failed before: refused, three attempts; now failed, one attempt each, counted as values_unfit, and the budget is empty. JdbcTest also shows that the driver's unknown properties arrive as headers.

--- a/flight/src/main/java/holdmux/flight/Ipc.java
+++ b/flight/src/main/java/holdmux/flight/Ipc.java
@@ -29,6 +29,7 @@
 import org.apache.arrow.vector.ipc.message.MessageSerializer;
 import org.apache.arrow.vector.types.pojo.ArrowType;
 import org.apache.arrow.vector.types.pojo.Field;
+import org.apache.arrow.vector.types.pojo.FieldType;
 import org.apache.arrow.vector.types.pojo.Schema;
 
 /** Arrow's IPC format as Flight's messages, for the few tables that are made or read here rather than passed on. */
@@ -195,7 +196,7 @@
         List<ArrowBuf> bodies = new ArrayList<>();
         VectorSchemaRoot root = null;
         try {
-            root = VectorSchemaRoot.create(schema(frames.get(0)), allocator);
+            root = VectorSchemaRoot.create(new Schema(indices(schema(frames.get(0)).getFields())), allocator);
             VectorLoader loader = new VectorLoader(root);
             for (byte[] frame : frames.subList(1, frames.size())) {
                 if (check(frame) != MessageHeader.RecordBatch) {
@@ -224,6 +225,14 @@
         }
     }
 
+    /** Fields as their batches hold them: of one by dictionary that is its index, not what the schema names. */
+    private static List<Field> indices(List<Field> fields) {
+        return fields.stream().map(field -> field.getDictionary() == null
+                ? new Field(field.getName(), field.getFieldType(), indices(field.getChildren()))
+                : new Field(field.getName(), new FieldType(field.isNullable(), field.getDictionary().getIndexType(), null),
+                        null)).toList();
+    }
+
     /** How many rows a table has. */
     long rows(List<byte[]> frames) throws IOException {
         long[] count = new long[1];
--- a/flight/src/test/java/holdmux/flight/FlightFrontTest.java
+++ b/flight/src/test/java/holdmux/flight/FlightFrontTest.java
@@ -133,6 +133,18 @@
         }
     }
 
+    /** A table that no PostgreSQL client can be given has run: failed, counted, never cut to what would fit. */
+    @Test
+    void aTableThatIsNoCellFailsOnTheOtherFront() throws Exception {
+        try (Rig rig = new Rig(StandIns.FLIGHT_KIND)) {
+            assertEquals(Rig.FAILED, rig.pg(rates("r1", "2x5")));
+            assertEquals(Rig.FAILED, rig.pg(rates("r2", "300x5000"))); // longer than what is held
+            assertEquals(2, rig.get(Counter.VALUES_UNFIT));
+            assertEquals(2, rig.get(Counter.ATTEMPTS));
+            assertEquals(0, rig.part.streamBytes());
+        }
+    }
+
     /** All columns, values and dictionaries of a table pass unchanged, and its schema is known afterwards. */
     @Test
     void aTablePassesUnchanged() throws Exception {
--- a/flight/src/test/java/holdmux/flight/JdbcTest.java
+++ b/flight/src/test/java/holdmux/flight/JdbcTest.java
@@ -50,6 +50,13 @@
                 assertTrue(tables.next());
                 assertEquals("facts", tables.getString("TABLE_NAME"));
             }
+            // unknown properties ride as headers, so that statements need no comment
+            try (Connection plain = DriverManager.getConnection("jdbc:arrow-flight-sql://127.0.0.1:"
+                    + rig.location().getUri().getPort() + "/?useEncryption=false&c=history&cluster=1");
+                    Statement read = plain.createStatement();
+                    ResultSet rows = read.executeQuery("SELECT data FROM facts WHERE code = 'k'")) {
+                assertTrue(rows.next());
+            }
             assertEquals("holdmux", connection.getMetaData().getDatabaseProductName());
         }
     }
