--- a/flight/src/test/java/holdmux/flight/FlightFrontTest.java
+++ b/flight/src/test/java/holdmux/flight/FlightFrontTest.java
@@ -218,6 +218,27 @@
         }
     }
 
+    /** Beyond the calls that may be open the next is refused at once, nothing of it runs, and room comes back. */
+    @Test
+    void callsBeyondTheCapAreRefusedAtOnce() throws Exception {
+        try (Rig rig = new Rig(StandIns.FLIGHT_KIND, 64)) { // room for 32 calls
+            List<Ticket> tickets = new ArrayList<>();
+            for (int i = 0; i < 48; i++) {
+                String id = "r" + i;
+                rig.standIns.group().plan(id, Fault.of(Kind.SILENT, Phase.BEFORE_RUN));
+                tickets.add(ticket(rig.client().execute(rates(id, "1x1").replace("d=1500", "d=600"))));
+            }
+            List<Callable<String>> work = new ArrayList<>();
+            tickets.forEach(ticket -> work.add(() -> redeem(rig.client(), ticket, new AtomicInteger())));
+            List<String> endings = together(work.size(), work);
+            assertTrue(rig.get(Counter.CALLS_TURNED_AWAY) > 0, rig.pooler.services().counters().toString());
+            assertTrue(endings.stream().allMatch(e -> List.of(Rig.SERVED, Rig.REFUSED, Rig.FAILED).contains(e)),
+                    endings.toString());
+            assertEquals(work.size(), rig.get(Counter.REQUESTS_TAKEN) + rig.get(Counter.CALLS_TURNED_AWAY));
+            Rig.await(() -> rig.flight(rates("after", "1x1")).equals(Rig.SERVED));
+        }
+    }
+
     /** The figures of drivers that strip comments ride in headers; where both tell, they must agree. */
     @Test
     void figuresMayRideInHeaders() throws Exception {
