--- a/flight/src/test/java/holdmux/flight/FlightFrontTest.java
+++ b/flight/src/test/java/holdmux/flight/FlightFrontTest.java
@@ -167,7 +167,10 @@
         }
     }
 
-    /** A primary that falls silent at any phase of a write: it never runs twice, and its client hears in time. */
+    /**
+     * A primary that falls silent at any phase of a write, one in four here: it never runs twice. Its client hears, but
+     * the bound is five give-ups on a busy machine: this does not show that every answer is in time.
+     */
     @Test
     void aWriteWhosePrimaryFallsSilentRunsAtMostOnce() throws Exception {
         int writes = 1_000;
--- a/flight/src/test/java/holdmux/flight/ProofOnTheWireTest.java
+++ b/flight/src/test/java/holdmux/flight/ProofOnTheWireTest.java
@@ -51,6 +51,8 @@
             String ending = rig.pg("INSERT INTO facts (code, data) VALUES ('k', '\\x9f') RETURNING data "
                     + "/* id=w1,c=save-quote,d=600,cluster=1 */");
             rig.awaitQuiet();
+            // probes are calls as well; one that gRPC sent again by itself would be beyond both
+            assertTrue(calls.get() <= rig.get(Counter.ATTEMPTS) + rig.get(Counter.PROBES), calls.toString());
             long unrun = rig.get(Counter.ATTEMPT_CONNECT_FAILED);
             if (peer.proves) {
                 // the last try may be cut by the client's own time before its frames come
