Add the store module's policy decisions: keep, activate, and serve within a bound

Today each pooler takes up its own file at SIGHUP (Serve.reload), so a fleet runs mixed versions for as long as its slowest host and a pooler that was down starts on whatever file it finds.

Measured: PolicyViewTest plays twelve poolers, clocks up to 5 s apart, cut off and restarted at random, 300 seeded rounds: none serves an out-of-date version for longer than the bound. Not yet: the Ratis log, followers, the command line, process tests.

--- a/pooler/src/main/java/holdmux/config/SettingsReader.java
+++ b/pooler/src/main/java/holdmux/config/SettingsReader.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.json.JSONException;
+import org.json.JSONObject;
 
 /**
  * Reads the settings of an instance by name; keys that it does not know are ignored. The simulator hands them
@@ -35,6 +37,24 @@
         return new SettingsReader(values).settings();
     }
 
+    /**
+     * Checks the {@code settings} object of a configuration as {@link Config#load} would take it up: the same schema
+     * and limits, for a policy that is not in force yet. Positions count from 0 here; {@code me}, each pooler's own
+     * index, may be left out.
+     *
+     * @throws ConfigException naming the first key that is missing or out of bounds
+     */
+    public static Deployment check(JSONObject settings) {
+        try {
+            Map<String, String> values = Flattener.flatten(settings);
+            values.put("family-info.zero-ns", "0");
+            values.putIfAbsent("me", "0"); // each pooler's own, from its file
+            return new SettingsReader(values).deployment();
+        } catch (JSONException e) {
+            throw new ConfigException("settings: " + e.getMessage());
+        }
+    }
+
     /** The names and figures that only the real pooler needs, beside what the module is told. */
     Deployment deployment() {
         int classes = (int) atLeast("request-classes.count", 1);
--- /dev/null
+++ b/store/src/main/java/holdmux/store/EntryCodec.java
@@ -0,0 +1,70 @@
+package holdmux.store;
+
+import holdmux.store.Entry.Activate;
+import holdmux.store.Entry.Propose;
+import java.nio.charset.StandardCharsets;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * Entries as the log keeps them: one JSON object in UTF-8, {@code {"propose":{number,basedOn,text,sha256,by}}} or
+ * {@code {"activate":{number,delayNs,by}}}. JSON so that an operator can read a log entry as it stands.
+ */
+public final class EntryCodec {
+    /** A whole version and its figures; anything longer is refused unread. */
+    public static final int MOST_BYTES = PolicyVersion.MOST_BYTES + 4_096;
+    /** Who proposed or asked: a name, not a text. */
+    static final int MOST_BY = 200;
+
+    private EntryCodec() {}
+
+    /** The entry as bytes of the log. */
+    public static byte[] encode(Entry entry) {
+        JSONObject object = new JSONObject();
+        if (entry instanceof Propose propose) {
+            PolicyVersion v = propose.version();
+            object.put("propose", new JSONObject().put("number", v.number()).put("basedOn", v.basedOn())
+                    .put("text", v.text()).put("sha256", v.sha256()).put("by", v.by()));
+        } else {
+            Activate a = (Activate) entry;
+            object.put("activate", new JSONObject().put("number", a.number()).put("delayNs", a.delayNs())
+                    .put("by", a.by()));
+        }
+        return object.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * The entry that the bytes hold.
+     *
+     * @throws IllegalArgumentException for more than {@link #MOST_BYTES}, bytes that are not such an object, or a
+     *                                  name of more than 200 characters
+     */
+    public static Entry decode(byte[] bytes) {
+        if (bytes.length > MOST_BYTES) {
+            throw new IllegalArgumentException("an entry of " + bytes.length + " bytes, over " + MOST_BYTES);
+        }
+        try {
+            JSONObject object = new JSONObject(new String(bytes, StandardCharsets.UTF_8));
+            if (object.length() != 1) {
+                throw new IllegalArgumentException("an entry is one of propose or activate");
+            }
+            if (object.has("propose")) {
+                JSONObject v = object.getJSONObject("propose");
+                return new Propose(new PolicyVersion(v.getLong("number"), v.getLong("basedOn"), v.getString("text"),
+                        v.getString("sha256"), name(v)));
+            }
+            JSONObject a = object.getJSONObject("activate");
+            return new Activate(a.getLong("number"), a.getLong("delayNs"), name(a));
+        } catch (JSONException e) {
+            throw new IllegalArgumentException("not an entry of the store: " + e.getMessage(), e);
+        }
+    }
+
+    private static String name(JSONObject object) {
+        String by = object.getString("by");
+        if (by.length() > MOST_BY) {
+            throw new IllegalArgumentException("a name of " + by.length() + " characters, over " + MOST_BY);
+        }
+        return by;
+    }
+}
--- /dev/null
+++ b/store/src/main/java/holdmux/store/PolicyView.java
@@ -0,0 +1,149 @@
+package holdmux.store;
+
+import holdmux.store.PolicyHistory.Activation;
+import java.util.ArrayDeque;
+
+/**
+ * One pooler's view of the policy in force: what it serves under, when it switches, and when it must stop because it
+ * has been cut off from the store for longer than the bound. No clock and no I/O: the time is passed in, in
+ * nanoseconds of the pooler's own monotonic clock, which need not agree with any other pooler's.
+ *
+ * <p>The store tells only what is committed; a pooler therefore never acts on a version that is not. A pooler that
+ * hears within the bound switches {@code delayNs} after it heard of an activation; one that starts or comes back from
+ * longer than the bound switches at once, since it did not serve meanwhile. Where several activations wait, the newest
+ * that is due is put in force: a pooler serves what was newest at the store when it heard it, {@code delayNs} before. Not thread-safe: the host keeps it behind
+ * one lock and swaps the settings that a decision names as one immutable snapshot.
+ */
+public final class PolicyView {
+    /** What the pooler does at a moment. */
+    public sealed interface Standing {
+        /** The version served under, or null where there is none. */
+        PolicyVersion version();
+
+        /**
+         * Time served since the store last answered: across restarts where the pooler kept it with its file, so
+         * that one cut off cannot serve an old version a bound for each start. Time it was down does not count.
+         */
+        long ageNs();
+    }
+
+    /**
+     * New requests are served under this version.
+     *
+     * @param serial    the activation that put it in force, 0 for the version kept from before the start
+     * @param ageNs     see {@link Standing#ageNs}
+     * @param confirmed whether the store has answered since the start
+     */
+    public record Serve(PolicyVersion version, long serial, long ageNs, boolean confirmed) implements Standing {}
+
+    /** New requests are refused, another pooler may take them: the version may be out of date by more than the bound. */
+    public record Refuse(PolicyVersion version, long ageNs, String reason) implements Standing {}
+
+    /**
+     * Activations that may wait at once: one a round trip to the store, for at most a delay of 60 s. Sixteen changes
+     * within one delay are beyond any operator; the oldest then goes unserved, as a newer one stands behind it.
+     */
+    static final int MOST_PENDING = 16;
+
+    private record Pending(Activation activation, PolicyVersion version, long atNs) {}
+
+    private final long boundNs;
+    private final long startNs;
+    private final long spentNs;
+    private PolicyVersion serving;
+    private long servingSerial;
+    /** Activations heard of and not in force yet, oldest first; see {@link #MOST_PENDING}. */
+    private final ArrayDeque<Pending> pending = new ArrayDeque<>();
+    private long seenSerial;
+    private long heardNs;
+    private boolean everHeard;
+
+    /**
+     * @param lastGood the version that this pooler served last, as kept in its own file, or null
+     * @param spentNs  the {@link Standing#ageNs} kept with it, 0 where none was kept with a version
+     * @param boundNs  how long a pooler cut off from the store may serve a version that it cannot confirm; positive
+     * @param startNs  the start, on the pooler's clock
+     */
+    public PolicyView(PolicyVersion lastGood, long spentNs, long boundNs, long startNs) {
+        if (boundNs <= 0 || spentNs < 0) {
+            throw new IllegalArgumentException("the bound must be positive and the time spent not negative: "
+                    + boundNs + ", " + spentNs);
+        }
+        this.serving = lastGood;
+        this.spentNs = spentNs;
+        this.boundNs = boundNs;
+        this.startNs = startNs;
+    }
+
+    /**
+     * The store answered: the activation in force there and its version, both committed; {@code active} is null where
+     * nothing was ever activated. A version whose checksum fails is not taken, and the store is not counted as heard.
+     *
+     * @return whether the answer was taken
+     */
+    public boolean heard(Activation active, PolicyVersion version, long nowNs) {
+        if (active != null && (version == null || version.number() != active.number() || !version.intact())) {
+            return false;
+        }
+        boolean trusted = trusted(nowNs);
+        heardNs = nowNs;
+        everHeard = true;
+        if (active == null || active.serial() <= seenSerial) {
+            return true;
+        }
+        seenSerial = active.serial();
+        if (!trusted || serving == null) {
+            serving = version;
+            servingSerial = active.serial();
+            pending.clear();
+        } else {
+            if (pending.size() == MOST_PENDING) {
+                pending.removeFirst();
+            }
+            pending.addLast(new Pending(active, version, nowNs + active.delayNs()));
+        }
+        return true;
+    }
+
+    /** What new requests meet at this moment; switches first where an activation's delay has passed. */
+    public Standing at(long nowNs) {
+        Pending due = null;
+        for (Pending next : pending) {
+            due = nowNs - next.atNs() >= 0 ? next : due;
+        }
+        while (due != null && pending.removeFirst() != due) {
+            // older ones are overtaken by the newest that is due
+        }
+        if (due != null) {
+            serving = due.version();
+            servingSerial = due.activation().serial();
+        }
+        long age = everHeard ? nowNs - heardNs : nowNs - startNs + spentNs;
+        if (serving == null) {
+            return new Refuse(null, age, "no policy yet: the store has not been reached and none was kept");
+        }
+        if (age > boundNs) {
+            return new Refuse(serving, age, "cut off from the store for " + age / 1_000_000 + " ms, over the bound of "
+                    + boundNs / 1_000_000 + " ms: version " + serving.number() + " may be out of date");
+        }
+        return new Serve(serving, servingSerial, age, everHeard);
+    }
+
+    /** The newest activation heard of and not yet in force, if any. */
+    public Activation pending() {
+        return pending.isEmpty() ? null : pending.getLast().activation();
+    }
+
+    /** Whether this pooler has served under what the store confirmed, without a gap over the bound. */
+    private boolean trusted(long nowNs) {
+        return everHeard && nowNs - heardNs <= boundNs;
+    }
+
+    @Override
+    public String toString() {
+        return "policy " + (serving == null ? "none" : serving.number() + " " + serving.shortSum())
+                + (pending.isEmpty() ? "" : ", " + pending.getLast().activation().number() + " at "
+                        + pending.getLast().atNs())
+                + ", heard " + (everHeard ? heardNs : "never");
+    }
+}
--- /dev/null
+++ b/store/src/test/java/holdmux/store/PolicyViewTest.java
@@ -0,0 +1,154 @@
+package holdmux.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.store.PolicyHistory.Activation;
+import holdmux.store.PolicyView.Refuse;
+import holdmux.store.PolicyView.Serve;
+import holdmux.store.PolicyView.Standing;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** What one pooler serves under, and that a fleet of them never parts for longer than the bound. */
+class PolicyViewTest {
+    private static final long S = 1_000_000_000L;
+    private static final long BOUND = 10 * S;
+    private static final PolicyVersion ONE = PolicyVersion.of(1, 0, "{\"v\":1}", "a");
+    private static final PolicyVersion TWO = PolicyVersion.of(2, 1, "{\"v\":2}", "a");
+
+    @Test
+    void aPoolerThatCannotReachTheStoreServesItsLastGoodVersionUntilTheBound() {
+        PolicyView view = new PolicyView(ONE, 0, BOUND, 100 * S);
+        assertEquals(new Serve(ONE, 0, 3 * S, false), view.at(103 * S));
+        assertEquals(new Serve(ONE, 0, BOUND, false), view.at(110 * S));
+        Refuse refuse = assertInstanceOf(Refuse.class, view.at(110 * S + 1));
+        assertTrue(refuse.reason().contains("over the bound of 10000 ms"), refuse.reason());
+        assertInstanceOf(Refuse.class, new PolicyView(null, 0, BOUND, 0).at(0), "nothing to serve under");
+    }
+
+    /** A pooler that starts with an old file takes what is in force at once: it never served under it. */
+    /** A pooler cut off and started again does not get a fresh bound for each start. */
+    @Test
+    void aRestartDoesNotRenewTheBound() {
+        PolicyView view = new PolicyView(ONE, 7 * S, BOUND, 0);
+        assertEquals(new Serve(ONE, 0, 10 * S, false), view.at(3 * S));
+        assertInstanceOf(Refuse.class, view.at(3 * S + 1));
+    }
+
+    @Test
+    void theFirstAnswerOfTheStoreCountsAtOnceWhateverItsDelay() {
+        PolicyView view = new PolicyView(ONE, 0, BOUND, 0);
+        assertTrue(view.heard(new Activation(2, 5 * S, 4, "a"), TWO, S));
+        assertEquals(new Serve(TWO, 4, 0, true), view.at(S));
+    }
+
+    @Test
+    void aPoolerInTouchSwitchesWhenTheDelayHasPassedOnItsOwnClock() {
+        PolicyView view = new PolicyView(null, 0, BOUND, 0);
+        view.heard(new Activation(1, 0, 1, "a"), ONE, S);
+        view.heard(new Activation(2, 3 * S, 2, "a"), TWO, 2 * S);
+        assertEquals(ONE, view.at(5 * S - 1).version());
+        assertEquals(new Serve(TWO, 2, 3 * S, true), view.at(5 * S));
+        assertNull(view.pending());
+    }
+
+    @Test
+    void aPoolerBackFromLongerThanTheBoundSwitchesAtOnce() {
+        PolicyView view = new PolicyView(null, 0, BOUND, 0);
+        view.heard(new Activation(1, 0, 1, "a"), ONE, 0);
+        assertInstanceOf(Refuse.class, view.at(BOUND + 1));
+        view.heard(new Activation(2, 5 * S, 2, "a"), TWO, BOUND + 2);
+        assertEquals(TWO, view.at(BOUND + 2).version());
+    }
+
+    @Test
+    void aTornOrMismatchedAnswerIsNotTakenNorCountsAsContact() {
+        PolicyView view = new PolicyView(ONE, 0, BOUND, 0);
+        PolicyVersion torn = new PolicyVersion(2, 1, "{\"v\":3}", TWO.sha256(), "a");
+        assertFalse(view.heard(new Activation(2, 0, 1, "a"), torn, S));
+        assertFalse(view.heard(new Activation(2, 0, 1, "a"), ONE, S));
+        assertFalse(view.heard(new Activation(2, 0, 1, "a"), null, S));
+        assertEquals(new Serve(ONE, 0, 2 * S, false), view.at(2 * S));
+    }
+
+    @Test
+    void anOlderAnswerAfterANewerOneChangesNothing() {
+        PolicyView view = new PolicyView(null, 0, BOUND, 0);
+        view.heard(new Activation(2, 0, 2, "a"), TWO, S);
+        view.heard(new Activation(1, 0, 1, "a"), ONE, 2 * S);
+        assertEquals(TWO, view.at(2 * S).version());
+    }
+
+    /**
+     * Twelve poolers on clocks up to 5 s apart ask the store now and then; some are cut off for a while, some killed and
+     * started again with their file. Whatever the order, a pooler never serves under an activation that is not
+     * committed, and never serves for longer than the bound under another version than the one due, the activation's
+     * delay after it was committed: so no two poolers serve different versions for longer than that.
+     */
+    @Property(tries = 300, seed = "20261202")
+    void noPoolerServesAnOutOfDateVersionForLongerThanTheBound(@ForAll long seed) {
+        Random random = new Random(seed);
+        long bound = (1 + random.nextInt(10)) * S;
+        long delay = random.nextInt(3) * S / 2;
+        long step = S / 10;
+        int poolers = 12;
+        long[] offset = new long[poolers];
+        long[] cutUntil = new long[poolers];
+        long[] behindFor = new long[poolers];
+        PolicyView[] views = new PolicyView[poolers];
+        for (int p = 0; p < poolers; p++) {
+            offset[p] = random.nextLong(10 * S) - 5 * S;
+            views[p] = new PolicyView(random.nextBoolean() ? ONE : null, 0, bound, offset[p]);
+        }
+        List<Activation> committed = new ArrayList<>();
+        List<Long> committedAt = new ArrayList<>();
+        List<PolicyVersion> versions = new ArrayList<>();
+        for (long now = 0; now < 120 * S; now += step) {
+            if (random.nextInt(40) == 0) {
+                PolicyVersion version = random.nextBoolean() ? ONE : TWO;
+                committed.add(new Activation(version.number(), delay, committed.size() + 1L, "a"));
+                committedAt.add(now);
+                versions.add(version);
+            }
+            int due = -1;
+            for (int i = 0; i < committedAt.size(); i++) {
+                due = committedAt.get(i) <= now - delay ? i : due;
+            }
+            for (int p = 0; p < poolers; p++) {
+                long local = now + offset[p];
+                if (random.nextInt(300) == 0) {
+                    cutUntil[p] = now + random.nextLong(3 * bound);
+                }
+                if (random.nextInt(600) == 0) { // killed, and started again at once with what its file kept
+                    Standing was = views[p].at(local);
+                    views[p] = new PolicyView(was.version(), was.ageNs(), bound, local);
+                }
+                if (now >= cutUntil[p] && random.nextInt(5) == 0) {
+                    int last = committed.size() - 1;
+                    views[p].heard(last < 0 ? null : committed.get(last), last < 0 ? null : versions.get(last), local);
+                }
+                Standing standing = views[p].at(local);
+                if (standing instanceof Serve serve) {
+                    assertTrue(serve.serial() <= committed.size(), "ahead of the store");
+                    boolean behind = due >= 0 && serve.version().number() != versions.get(due).number();
+                    behindFor[p] = behind ? behindFor[p] + step : 0;
+                    long at = now;
+                    long late = behindFor[p];
+                    PolicyView view = views[p];
+                    assertTrue(late <= bound + step, () -> "serves version " + serve.version().number() + " at "
+                            + at + " for " + late + " ns where another is due; " + view);
+                } else {
+                    behindFor[p] = 0;
+                }
+            }
+        }
+    }
+}
