--- a/store/src/test/java/holdmux/store/PolicyHistoryTest.java
+++ b/store/src/test/java/holdmux/store/PolicyHistoryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.store.Entry.Activate;
@@ -44,11 +45,17 @@
         return history;
     }
 
+    /** Entries survive the log whole; what is not an entry is refused, unread where it is too long. */
     @Test
-    void aValidVersionIsKeptButNotInForce() {
-        PolicyHistory history = kept(1);
-        assertEquals(1, history.newest());
-        assertTrue(history.active().isEmpty(), "kept is not activated");
+    void entriesComeBackFromTheLogAsTheyWent() {
+        for (Entry entry : List.of(new Propose(PolicyVersion.of(3, 2, settings(), "ana")), new Activate(3, 9, "ana"))) {
+            assertEquals(entry, EntryCodec.decode(EntryCodec.encode(entry)));
+        }
+        for (String text : List.of("", "[]", "{}", "{\"activate\":{\"number\":1}}", "{\"propose\":{},\"activate\":{}}",
+                "{\"activate\":{\"number\":1,\"delayNs\":0,\"by\":\"" + "x".repeat(201) + "\"}}")) {
+            assertThrows(IllegalArgumentException.class, () -> EntryCodec.decode(text.getBytes(StandardCharsets.UTF_8)));
+        }
+        assertThrows(IllegalArgumentException.class, () -> EntryCodec.decode(new byte[EntryCodec.MOST_BYTES + 1]));
     }
 
     /** Two operators who start from the same version: the one applied second learns who came first. */
@@ -86,6 +93,7 @@
     @Test
     void activationNamesAKeptVersionOnceAndRollsBackByNumber() {
         PolicyHistory history = kept(2);
+        assertTrue(history.active().isEmpty(), "kept is not in force");
         assertFalse(history.check(new Activate(3, 0, "a"), Validator.SETTINGS).accepted(), "not kept");
         assertFalse(history.check(new Activate(2, -1, "a"), Validator.SETTINGS).accepted(), "negative delay");
         assertFalse(history.check(new Activate(2, PolicyHistory.MOST_DELAY_NS + 1, "a"), Validator.SETTINGS)
