--- a/store/src/main/java/holdmux/store/PolicyHistory.java
+++ b/store/src/main/java/holdmux/store/PolicyHistory.java
@@ -17,7 +17,10 @@
 public record PolicyHistory(List<PolicyVersion> versions, List<Activation> activations) {
     /** The most a pooler may be asked to wait before it switches. */
     public static final long MOST_DELAY_NS = 60_000_000_000L;
-    /** Versions kept; the operators prune older ones by snapshot (a thousand versions of 1 MiB would not fit). */
+    /**
+     * Versions kept: a thousand of 1 MiB would not fit a member's memory. Pruning old ones is not built yet, so past
+     * this a proposal is refused with that word.
+     */
     public static final int MOST_VERSIONS = 1_000;
 
     /** The history of a new store: nothing kept, nothing in force. */
--- a/store/src/main/java/holdmux/store/PolicyView.java
+++ b/store/src/main/java/holdmux/store/PolicyView.java
@@ -11,8 +11,8 @@
  * <p>The store tells only what is committed; a pooler therefore never acts on a version that is not. A pooler that
  * hears within the bound switches {@code delayNs} after it heard of an activation; one that starts or comes back from
  * longer than the bound switches at once, since it did not serve meanwhile. Where several activations wait, the newest
- * that is due is put in force: a pooler serves what was newest at the store when it heard it, {@code delayNs} before. Not thread-safe: the host keeps it behind
- * one lock and swaps the settings that a decision names as one immutable snapshot.
+ * that is due is put in force: a pooler serves what was newest at the store when it heard it, {@code delayNs} before. Not thread-safe: a host is to keep it
+ * behind one lock and swap the settings that a decision names as one immutable snapshot (no host is wired yet).
  */
 public final class PolicyView {
     /** What the pooler does at a moment. */
