--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -37,8 +37,13 @@
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
     }
 
-    void connect() throws IOException {
-        channel.connect(address);
+    /**
+     * Opens the connection, waiting at most this long (nanoseconds, rounded up to a whole millisecond); a
+     * {@link java.net.SocketTimeoutException} past it. The connecting thread keeps the bound itself: on the fleet's days
+     * a close from another thread does not end a connect that a silent server never takes up.
+     */
+    void connect(long waitNs) throws IOException {
+        channel.socket().connect(address, (int) Math.max(1, Math.min(Integer.MAX_VALUE, (waitNs + Clock.MS - 1) / Clock.MS)));
     }
 
     /** Writes these bytes, a usual query of them in one go; returns once the last byte is written. */
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -31,6 +31,7 @@
     private static final int OWN_MESSAGES = 128;
 
     private final Fleet fleet;
+    private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Buffers buffers;
@@ -44,6 +45,7 @@
     ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
             Supplier<Deployment> deployment, ServerSlots slots) {
         this.fleet = fleet;
+        this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         this.buffers = buffers;
@@ -126,9 +128,10 @@
         if (!attempt.carriedBy(connection)) {
             throw new IOException("cut off before it was sent");
         }
+        long waitNs = Math.min(deployment.get().connectTimeoutNs(), attempt.startedAt + attempt.limitNs - clock.now());
         Deadline timeOut = deadlines.after(deployment.get().connectTimeoutNs(), () -> attempt.cut(Outcome.CONNECT_FAILED));
         try {
-            connection.connect();
+            connection.connect(waitNs);
             connection.send(List.of(new Message(new byte[OWN_MESSAGES]).beginUntyped().put(Message.PROTOCOL_3).put("user")
                     .put("holdmux").put("database").put("crm").put('\0').end().bytes()));
             Answer greeting = connection.receive(form);
--- /dev/null
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -0,0 +1,59 @@
+package holdmux.pg;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import holdmux.core.Clock;
+import holdmux.statement.Buffers;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ServerConnectionTest {
+    /**
+     * A server whose queue of connections is full takes no more: the kernel drops the next handshakes, as a server cut
+     * off drops them, and a connect waits for minutes unless its own thread bounds it. Guards against a connect that
+     * waits for another thread to close it (which on the fleet's days does not end it) and so answers its request late.
+     */
+    @Test
+    void aConnectToAServerThatTakesNothingEndsByItselfAtItsBound() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        List<Socket> queued = new ArrayList<>();
+        try (ServerSocket silent = new ServerSocket(0, 1, loopback)) {
+            InetSocketAddress address = new InetSocketAddress(loopback, silent.getLocalPort());
+            fillQueue(address, queued);
+            ServerConnection connection = new ServerConnection(1, address, new Buffers(4 * Buffers.SIZE, Buffers.SIZE, () -> false));
+            try (connection) {
+                // no other thread and no deadline: only the bound given to connect can end it
+                assertTimeoutPreemptively(Duration.ofSeconds(20),
+                        () -> assertThrows(SocketTimeoutException.class, () -> connection.connect(200 * Clock.MS)));
+            }
+        } finally {
+            for (Socket socket : queued) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Connects until one does not come up within a short bound: from then on the server drops handshakes. */
+    private static void fillQueue(InetSocketAddress address, List<Socket> queued) throws IOException {
+        for (int i = 0; i < 64; i++) {
+            Socket socket = new Socket();
+            try {
+                socket.connect(address, 200);
+                queued.add(socket);
+            } catch (SocketTimeoutException e) {
+                socket.close();
+                return;
+            }
+        }
+        throw new IllegalStateException("the server took 64 connections with a queue of one");
+    }
+}
