--- a/pooler/src/main/java/holdmux/core/Clock.java
+++ b/pooler/src/main/java/holdmux/core/Clock.java
@@ -14,6 +14,11 @@
         offset = wall.getEpochSecond() * 1_000 * MS + wall.getNano() - System.nanoTime();
     }
 
+    /** Nanoseconds in whole milliseconds, rounded up so that a wait told in them is never shorter. */
+    public static long millisUp(long ns) {
+        return (ns + MS - 1) / MS;
+    }
+
     public long now() {
         return System.nanoTime() + offset;
     }
--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -73,7 +73,7 @@
 
     /** An error behind which the connection goes on; {@code waitNs}: come again after so long, 0 for no advice. */
     void error(String sqlState, String words, long waitNs) throws IOException {
-        String waitMs = waitNs <= 0 ? null : Long.toString((waitNs + Clock.MS - 1) / Clock.MS);
+        String waitMs = waitNs <= 0 ? null : Long.toString(Clock.millisUp(waitNs));
         message(message -> message.error(false, sqlState, words, waitMs).readyForQuery());
     }
 
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -43,7 +43,7 @@
      * a close from another thread does not end a connect that a silent server never takes up.
      */
     void connect(long waitNs) throws IOException {
-        channel.socket().connect(address, (int) Math.max(1, Math.min(Integer.MAX_VALUE, (waitNs + Clock.MS - 1) / Clock.MS)));
+        channel.socket().connect(address, (int) Math.max(1, Math.min(Integer.MAX_VALUE, Clock.millisUp(waitNs))));
     }
 
     /** Writes these bytes, a usual query of them in one go; returns once the last byte is written. */
