Let a part hold the fleet's policy: steering, a gate on new requests, a word on deaf SIGHUP

Need: a pooler must be able to serve under a policy that it is told by the fleet's store, and to take nothing new where it must not serve (issue on changes of policy everywhere or nowhere). Change: Part.begin(Steering), called before anything listens; Steered is who tells the pooler its policy (its file, until a part does); Admission.closed answers new requests 57P03 (UNAVAILABLE on Flight SQL) with the reason and counts policy_closed; Counters.show adds rows to SHOW STATS; OrdersInForce joins the operators' and the fleet's exclusions; SettingsReader.overlay keeps what is each pooler's own (me, zone, zones, skus, report). With no part all of it is a null check. Also: a pooler started with SIGHUP ignored (nohup) says so in its log. ServeTest.aPoolerThatCannotHearHangUpsSaysSo fails without it.

--- a/flight/src/main/java/holdmux/flight/Catalog.java
+++ b/flight/src/main/java/holdmux/flight/Catalog.java
@@ -1,7 +1,6 @@
 package holdmux.flight;
 
 import holdmux.core.Counters;
-import holdmux.core.Counters.Counter;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,9 +93,7 @@
     /** The counters, a row each. */
     List<byte[]> stats(Counters counters) {
         List<List<?>> rows = new ArrayList<>();
-        for (Counter counter : Counter.values()) {
-            rows.add(List.of(counter.toString(), Long.toString(counters.get(counter))));
-        }
+        counters.all().forEach((name, value) -> rows.add(List.of(name, value)));
         return table(STATS, rows);
     }
 
--- a/flight/src/main/java/holdmux/flight/Statuses.java
+++ b/flight/src/main/java/holdmux/flight/Statuses.java
@@ -30,6 +30,11 @@
         return status(Code.UNAVAILABLE, "ENDING", "this pooler is about to end", 0);
     }
 
+    /** This pooler takes nothing now, for this reason: nothing ran, another can take it. */
+    static StatusRuntimeException closed(String why) {
+        return status(Code.UNAVAILABLE, "CLOSED", why, 0);
+    }
+
     /** Failed: it may have taken effect. */
     static StatusRuntimeException failed(String words) {
         return status(Code.UNKNOWN, "FAILED", words, -1);
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -16,6 +16,7 @@
 import holdmux.discovery.Watch;
 import holdmux.management.ManagementServer;
 import holdmux.management.Operations;
+import holdmux.management.OrdersInForce;
 import holdmux.management.StateFile;
 import holdmux.upgrade.Upgrade;
 import java.io.IOException;
@@ -25,6 +26,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** One pooler as a process: wiring, signals and the drain. */
 public final class Serve {
@@ -61,7 +63,10 @@
     private static void serve(List<Part> parts) throws IOException {
         Semaphore hangUps = new Semaphore(0);
         // before anything else: unhandled, this signal ends a virtual machine
-        Signal.handle(new Signal("HUP"), signal -> hangUps.release());
+        boolean deaf = Signal.handle(new Signal("HUP"), signal -> hangUps.release()) == SignalHandler.SIG_IGN;
+        if (deaf) {
+            Log.warn("started with SIGHUP ignored, as nohup does: the configuration cannot be taken up anew");
+        }
         Clock clock = new Clock();
         Config config = Config.load(System.getenv(), clock.now());
         Pooler pooler = new Pooler(config, parts, clock);
@@ -71,15 +76,19 @@
         Deadlines deadlines = services.deadlines();
         Fronts fronts = pooler.fronts();
         Watch watch = pooler.begin();
-        Workers.thread("reload", () -> reload(hangUps, config, balancer, watch, counters)).start();
+        Steered steered = new Steered(services, watch);
+        Workers.thread("reload", () -> reload(hangUps, config, steered, watch, counters)).start();
         reportLater(deadlines, counters);
         Path folder = System.getenv("TMPDIR") == null ? null : Path.of(System.getenv("TMPDIR"));
         AtomicReference<Upgrade> upgrade = new AtomicReference<>();
+        OrdersInForce orders = new OrdersInForce(all -> {
+            balancer.leaveOut(all.excluded());
+            fronts.sendAway(all.evacuated());
+        }, () -> clock.now() / Clock.MS);
+        steered.orders(orders);
         Operations operations = new Operations(new StateFile(folder), services.fleet()::lists,
-                () -> pooler.isReady() && fronts.isServing(), orders -> {
-                    balancer.leaveOut(orders.excluded());
-                    fronts.sendAway(orders.evacuated());
-                }, () -> upgrade.get().ordersChanged(), () -> clock.now() / Clock.MS);
+                () -> pooler.isReady() && fronts.isServing() && steered.takes(), orders::own,
+                () -> upgrade.get().ordersChanged(), () -> clock.now() / Clock.MS);
         upgrade.set(new Upgrade(folder, new Upgrade.Local(balancer::writes, balancer::written, operations::refresh,
                 fronts::openClients, services.slots()::held), services.shared(), deadlines, counters));
         balancer.tellWritesTo(upgrade.get());
@@ -89,6 +98,9 @@
             Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
         }
         start(pooler::warmUp, () -> {
+            for (Part part : parts) {
+                part.begin(steered);
+            }
             if (takesOver) {
                 pooler.awaitReady();
                 upgrade.get().awaitTold();
@@ -119,18 +131,17 @@
     }
 
     /** SIGHUP: takes up the configuration anew, time and again; one that cannot be used leaves the old in force. */
-    private static void reload(Semaphore hangUps, Config first, Balancer balancer, Watch watch, Counters counters) {
+    private static void reload(Semaphore hangUps, Config first, Steered steered, Watch watch, Counters counters) {
         Config config = first;
         while (true) {
             hangUps.acquireUninterruptibly();
             hangUps.drainPermits();
             try {
                 Config next = config.reload(System.getenv());
-                balancer.retune(next.deployment());
-                watch.moveTo(next.discovery());
+                steered.file(next);
                 counters.count(Counter.RELOADS);
-                Log.info("configuration taken up anew; discovery is at " + next.discovery() + ", classes "
-                        + next.deployment().classes());
+                Log.info("configuration taken up anew; discovery is at " + watch.agent() + ", classes "
+                        + steered.services().balancer().deployment().classes());
                 if (first.needsRestartFor(next)) {
                     Log.warn("the new configuration has other addresses or limits; those need a restart");
                 }
--- a/pooler/src/main/java/holdmux/config/Config.java
+++ b/pooler/src/main/java/holdmux/config/Config.java
@@ -12,10 +12,12 @@
 
 /**
  * All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits, {@code management} is
- * null where the operators have no address of their own, {@code keys} are all that the file told.
+ * null where the operators have no address of their own, {@code keys} are all that the file told and {@code ownSettings}
+ * its settings as they stand there.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress management,
-        long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys) {
+        long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys,
+        JSONObject ownSettings) {
     /** A fleet of twenty servers and its settings take 10 KiB; this is room for thousands. */
     private static final long MOST_BYTES = 1 << 20;
 
@@ -41,6 +43,11 @@
         return next;
     }
 
+    /** What a fleet's policy, the {@code settings} of one, means for this pooler. */
+    public Deployment under(JSONObject policySettings) {
+        return SettingsReader.overlay(ownSettings, policySettings, deployment.settings().zeroNs());
+    }
+
     public Caps caps() {
         return Caps.of(sockets, memoryMb);
     }
@@ -66,7 +73,8 @@
     static Config decode(String json, Map<String, String> env, long zeroNs, boolean fileFirst) {
         try {
             JSONObject all = new JSONObject(json);
-            Map<String, String> settings = Flattener.flatten(all.getJSONObject("settings"));
+            JSONObject ownSettings = all.getJSONObject("settings");
+            Map<String, String> settings = Flattener.flatten(ownSettings);
             settings.put("family-info.zero-ns", String.valueOf(zeroNs));
             String management = named(all, "management", env, "BALANCER_MANAGEMENT", fileFirst);
             JSONObject limits = all.getJSONObject("limits");
@@ -78,7 +86,7 @@
                     management.isEmpty() ? null : address(management),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
                     limits.getInt("sockets"), HostList.decode(all.getJSONObject("known")),
-                    new SettingsReader(settings).deployment(), Set.copyOf(keys));
+                    new SettingsReader(settings).deployment(), Set.copyOf(keys), ownSettings);
         } catch (JSONException | NumberFormatException e) {
             throw new ConfigException("configuration: " + e.getMessage());
         }
--- a/pooler/src/main/java/holdmux/config/Flattener.java
+++ b/pooler/src/main/java/holdmux/config/Flattener.java
@@ -14,12 +14,12 @@
  * list of objects puts its length under {@code .count} and its items under {@code .0}, {@code .1} and so on, and
  * blanks and commas inside a value turn into {@code _}.
  */
-final class Flattener {
+public final class Flattener {
     private final Map<String, String> values = new TreeMap<>();
 
     private Flattener() {}
 
-    static Map<String, String> flatten(JSONObject settings) {
+    public static Map<String, String> flatten(JSONObject settings) {
         Flattener flattener = new Flattener();
         flattener.object("", settings);
         return flattener.values;
--- a/pooler/src/main/java/holdmux/config/SettingsReader.java
+++ b/pooler/src/main/java/holdmux/config/SettingsReader.java
@@ -21,6 +21,12 @@
  * over as path=value lines, the pooler's configuration as nested JSON that {@link Flattener} brings to that form.
  */
 public final class SettingsReader {
+    /**
+     * What is each pooler's own, or stands as long as its process: its index and zone, and the names that its tables are
+     * built with at the start. A policy for the whole fleet leaves these to each pooler's file.
+     */
+    public static final List<String> OWN = List.of("me", "zone", "zones", "skus", "report");
+
     private final Map<String, String> values;
 
     SettingsReader(Map<String, String> values) {
@@ -55,6 +61,29 @@
         }
     }
 
+    /**
+     * What a fleet's policy means for one pooler: the policy's settings with this pooler's {@link #OWN} in their place.
+     *
+     * @param own    the {@code settings} of the pooler's file
+     * @param policy the {@code settings} of the policy
+     * @param zeroNs where positions count from on the pooler's clock
+     * @throws ConfigException naming the first key that is missing or out of bounds
+     */
+    public static Deployment overlay(JSONObject own, JSONObject policy, long zeroNs) {
+        try {
+            JSONObject merged = new JSONObject(policy.toString());
+            for (String key : OWN) {
+                merged.remove(key);
+                merged.putOpt(key, own.opt(key));
+            }
+            Map<String, String> values = Flattener.flatten(merged);
+            values.put("family-info.zero-ns", Long.toString(zeroNs));
+            return new SettingsReader(values).deployment();
+        } catch (JSONException e) {
+            throw new ConfigException("settings: " + e.getMessage());
+        }
+    }
+
     /** The names and figures that only the real pooler needs, beside what the module is told. */
     Deployment deployment() {
         int classes = (int) atLeast("request-classes.count", 1);
--- a/pooler/src/main/java/holdmux/core/Admission.java
+++ b/pooler/src/main/java/holdmux/core/Admission.java
@@ -15,12 +15,25 @@
 
     private final Supplier<Deployment> deployment;
     private final Fleet fleet;
+    /** Null where nothing is asked. */
+    private volatile Supplier<String> gate;
 
     public Admission(Supplier<Deployment> deployment, Fleet fleet) {
         this.deployment = deployment;
         this.fleet = fleet;
     }
 
+    /** Names who says whether anything new may be taken; see {@link Steering#gate}. */
+    void gate(Supplier<String> closed) {
+        gate = closed;
+    }
+
+    /** Null, or in words why this pooler takes no request now: another one can. */
+    public String closed() {
+        Supplier<String> now = gate;
+        return now == null ? null : now.get();
+    }
+
     /** The request that a statement stands for, where its client and this process wait no longer than this. */
     public Request.Call call(Statement statement, long mostNs) throws StatementException {
         RequestClass type = type(statement.className);
--- a/pooler/src/main/java/holdmux/core/Counters.java
+++ b/pooler/src/main/java/holdmux/core/Counters.java
@@ -1,9 +1,11 @@
 package holdmux.core;
 
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 
 /** Counts what the program takes in, sends and answers; docs/oncall.md says what each figure means. */
 public final class Counters {
@@ -14,7 +16,8 @@
         ATTEMPTS, ATTEMPT_OK, ATTEMPT_ERROR, ATTEMPT_FULL, ATTEMPT_TIMEOUT, ATTEMPT_CONNECT_FAILED, ATTEMPT_RESET,
         ATTEMPT_CANCELLED, ATTEMPT_MOOT, ATTEMPT_MISS,
         PROBES, PROBES_FAILED, SERVER_CONNECTS, SERVER_REUSES, SERVER_IDLE_CLOSES, SERVER_STALE_CLOSES,
-        LISTS_TAKEN, WATCH_FAILURES, RELOADS, RELOADS_REFUSED, MANAGEMENT_CALLS, MANAGEMENT_REFUSED, UPGRADE_WORDS_MISSED, CALLS, CALLS_TURNED_AWAY, TICKETS_ISSUED, TICKETS_REFUSED, READERS_CUT, INTERNAL_ERRORS;
+        LISTS_TAKEN, WATCH_FAILURES, RELOADS, RELOADS_REFUSED, MANAGEMENT_CALLS, MANAGEMENT_REFUSED, UPGRADE_WORDS_MISSED, CALLS, CALLS_TURNED_AWAY, TICKETS_ISSUED, TICKETS_REFUSED, READERS_CUT,
+        POLICY_SWITCHES, POLICY_UNFIT, POLICY_POLLS_FAILED, POLICY_CLOSED, INTERNAL_ERRORS;
 
         @Override
         public String toString() {
@@ -23,6 +26,8 @@
     }
 
     private final Map<Counter, LongAdder> figures = new EnumMap<>(Counter.class);
+    /** Copied at each change, which come at the start alone. */
+    private volatile Map<String, Supplier<String>> standing = Map.of();
 
     public Counters() {
         for (Counter counter : Counter.values()) {
@@ -38,12 +43,26 @@
         return figures.get(counter).sum();
     }
 
+    /** Adds a figure that is asked for whenever the others are told. */
+    synchronized void show(String name, Supplier<String> value) {
+        Map<String, Supplier<String>> more = new LinkedHashMap<>(standing);
+        more.put(name, value);
+        standing = more;
+    }
+
+    /** All figures by name, as they stand now. */
+    public Map<String, String> all() {
+        Map<String, String> all = new LinkedHashMap<>();
+        figures.forEach((counter, figure) -> all.put(counter.toString(), Long.toString(figure.sum())));
+        standing.forEach((name, value) -> all.put(name, value.get()));
+        return all;
+    }
+
     /** All figures as name=value, in one line. */
     @Override
     public String toString() {
         StringBuilder line = new StringBuilder();
-        figures.forEach((counter, figure) -> line.append(line.isEmpty() ? "" : " ")
-                .append(counter).append('=').append(figure.sum()));
+        all().forEach((name, value) -> line.append(line.isEmpty() ? "" : " ").append(name).append('=').append(value));
         return line.toString();
     }
 }
--- a/pooler/src/main/java/holdmux/core/Part.java
+++ b/pooler/src/main/java/holdmux/core/Part.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.Set;
 
-/** A further protocol that a process is started with, beside PostgreSQL's. */
+/** A further protocol or duty that a process is started with, beside PostgreSQL's. */
 public interface Part {
     /** The kinds of server that {@link #upstream} reaches; none where the part is a front alone. */
     Set<String> kinds();
@@ -13,4 +13,7 @@
 
     /** Called once; null where the part is an upstream alone. */
     Front front(Services services) throws IOException;
+
+    /** Called once, when all is wired and before anything listens; may wait a little for what must come first. */
+    default void begin(Steering steering) throws IOException, InterruptedException {}
 }
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -87,6 +87,11 @@
         }
     }
 
+    /** Where the list is asked for now. */
+    public synchronized InetSocketAddress agent() {
+        return agent;
+    }
+
     private synchronized InetSocketAddress begin(Socket socket) {
         calling = socket;
         whole |= moved;
--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -3,11 +3,11 @@
 import holdmux.core.Cell;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
-import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /** What one client is told: the messages of answers and errors, written in pieces that it must take in time. */
@@ -99,14 +99,13 @@
             message.begin('T').putShort(2);
             column(message, "counter");
             column(message, "value").end();
-            int rows = 0;
-            for (Counter counter : Counter.values()) {
+            Map<String, String> all = counters.all();
+            all.forEach((name, value) -> {
                 message.begin('D').putShort(2);
-                field(message, counter.toString());
-                field(message, Long.toString(counters.get(counter))).end();
-                rows++;
-            }
-            message.begin('C').put("SHOW " + rows).end().readyForQuery();
+                field(message, name);
+                field(message, value).end();
+            });
+            message.begin('C').put("SHOW " + all.size()).end().readyForQuery();
         });
     }
 
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -338,6 +338,12 @@
                 out.error(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
                 return;
             }
+            String closed = context.admission().closed();
+            if (closed != null) {
+                counters.count(Counter.POLICY_CLOSED);
+                out.error(SqlState.CANNOT_CONNECT_NOW, closed, 0);
+                return;
+            }
             Request request = context.balancer().taken(call);
             if (!begins(request)) {
                 context.balancer().left(request);
--- a/pooler/src/test/java/holdmux/ServeTest.java
+++ b/pooler/src/test/java/holdmux/ServeTest.java
@@ -70,6 +70,25 @@
         }
     }
 
+    /** Started below nohup a virtual machine hears no SIGHUP; operators must learn it from the log, not from old settings. */
+    @Test
+    @Timeout(30)
+    void aPoolerThatCannotHearHangUpsSaysSo(@TempDir Path folder) throws Exception {
+        try (ServerSocket agent = agent()) {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config(agent, freePort()));
+            ProcessBuilder builder = serving(folder, file, "log", freePort());
+            builder.command().addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+            Process pooler = builder.start();
+            try {
+                answerOnce(agent);
+            } finally {
+                pooler.destroyForcibly().waitFor();
+            }
+            assertTrue(Files.readString(folder.resolve("log")).contains("started with SIGHUP ignored"));
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket free = agent()) {
             return free.getLocalPort();
@@ -77,12 +96,16 @@
     }
 
     private static Process serve(Path folder, Path file, String log, int management) throws IOException {
+        return serving(folder, file, log, management).start();
+    }
+
+    private static ProcessBuilder serving(Path folder, Path file, String log, int management) {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "holdmux.Serve");
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.environment().put("BALANCER_MANAGEMENT", "127.0.0.1:" + management);
         builder.environment().put("TMPDIR", folder.toString());
-        return builder.redirectErrorStream(true).redirectOutput(folder.resolve(log).toFile()).start();
+        return builder.redirectErrorStream(true).redirectOutput(folder.resolve(log).toFile());
     }
 
     /** The status of a call to the operators' address; tries again until somebody listens there. */
