Keep the fleet's policy in a store on Ratis: members, followers, commands and a drill

Need: issue on changes of policy that take hold everywhere or nowhere; so far only the decisions stood. Store tests pass.

--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -3,13 +3,16 @@
 import holdmux.Serve;
 import holdmux.app.bench.FlightBench;
 import holdmux.app.demo.Demo;
+import holdmux.app.drill.PolicyDrill;
 import holdmux.config.Config;
 import holdmux.config.ConfigException;
+import holdmux.core.Part;
 import holdmux.flight.FlightPart;
 import holdmux.simhost.SimHost;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
@@ -17,6 +20,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.TypeConversionException;
@@ -24,7 +28,7 @@
 /** The command line: names, options, help and exit codes; what a command does stands elsewhere. */
 @Command(name = "holdmux", description = "Routes each request to the one server of its group that may answer it.",
         subcommands = {Commands.ServeCommand.class, Commands.SimHostCommand.class, Commands.DemoCommand.class,
-            Commands.BenchCommand.class, Commands.VersionCommand.class,
+            Commands.BenchCommand.class, Commands.DrillCommand.class, PolicyCommands.class, StoreCommands.class, Commands.VersionCommand.class,
             HelpCommand.class},
         synopsisSubcommandLabel = "COMMAND", footer = {"", "Exit codes: 0 done, 1 a fault, 2 wrong usage."})
 final class Commands {
@@ -57,14 +61,23 @@
                 description = "Kinds of server, as discovery names them, that speak Flight SQL; the others speak PostgreSQL.")
         private Set<String> flightKinds = Set.of();
 
+        @Mixin
+        private StoreFlags store;
+
         @Override
         public Integer call() throws IOException {
-            boolean on = flight != null || !flightKinds.isEmpty();
-            return Serve.run(on ? List.of(new FlightPart(flight, flightKinds)) : List.of());
+            List<Part> parts = new ArrayList<>();
+            if (flight != null || !flightKinds.isEmpty()) {
+                parts.add(new FlightPart(flight, flightKinds));
+            }
+            if (store.isOn()) {
+                parts.add(store.part());
+            }
+            return Serve.run(parts);
         }
     }
 
-    private static final class AddressConverter implements ITypeConverter<InetSocketAddress> {
+    static final class AddressConverter implements ITypeConverter<InetSocketAddress> {
         @Override
         public InetSocketAddress convert(String text) {
             try {
@@ -108,7 +121,25 @@
         }
     }
 
-    private static final class DurationConverter implements ITypeConverter<Duration> {
+    @Command(name = "drill", mixinStandardHelpOptions = true,
+            description = "Changes policy on a fleet of ten processes here, with faults between and upon them, and judges it.")
+    static final class DrillCommand implements Callable<Integer> {
+        @Option(names = "--rounds", paramLabel = "N", defaultValue = "14",
+                description = "Changes, each with a trouble (default: ${DEFAULT-VALUE}).")
+        private int rounds;
+
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "Which troubles, in which order.")
+        private long seed;
+
+        @Override
+        public Integer call() throws Exception {
+            try (PolicyDrill drill = new PolicyDrill(System.out)) {
+                return drill.run(rounds, seed);
+            }
+        }
+    }
+
+    static final class DurationConverter implements ITypeConverter<Duration> {
         @Override
         public Duration convert(String text) {
             if (!text.matches("[1-9][0-9]{0,5}(ms|s|m)")) {
--- /dev/null
+++ b/app/src/main/java/holdmux/app/StoreCommands.java
@@ -0,0 +1,103 @@
+package holdmux.app;
+
+import holdmux.app.PolicyCommands.Asking;
+import holdmux.store.raft.Members;
+import holdmux.store.raft.StoreClient;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** {@code holdmux store}: the members that keep the fleet's policy. */
+@Command(name = "store", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+        description = "Shows and changes the members that keep the fleet's policy.",
+        subcommands = {StoreCommands.StatusCommand.class, StoreCommands.MembersCommand.class,
+            StoreCommands.AddCommand.class, StoreCommands.RemoveCommand.class})
+final class StoreCommands {
+    private StoreCommands() {}
+
+    /** How each member that answers stands. */
+    private static List<StoreClient.Standing> standings(StoreClient store, Members members, boolean print) {
+        List<StoreClient.Standing> all = new ArrayList<>();
+        for (String name : members.names()) {
+            try {
+                StoreClient.Standing s = store.standing(name);
+                all.add(s);
+                if (print) {
+                    System.out.printf("%-12s %-21s %-9s committed up to %d%n", s.name(), s.address(), s.role(),
+                            s.committed());
+                }
+            } catch (IOException e) {
+                if (print) {
+                    System.out.printf("%-12s does not answer: %s%n", name, e.getMessage());
+                }
+            }
+        }
+        return all;
+    }
+
+    /** The members as the one that leads has them; asked of it, since another may be behind. */
+    private static TreeSet<String> current(StoreClient store, Members members) throws IOException {
+        return standings(store, members, false).stream().filter(s -> s.role().equals("leader")).findFirst()
+                .map(s -> new TreeSet<>(s.members()))
+                .orElseThrow(() -> new IOException("nobody leads the store now, as when no majority of its members is up"));
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true,
+            description = "Tells how each member stands; 0 if a majority of them answers and one leads.")
+    static final class StatusCommand extends Asking {
+        @Override
+        int run(StoreClient store, Members members) {
+            List<StoreClient.Standing> all = standings(store, members, true);
+            boolean led = all.stream().anyMatch(s -> s.role().equals("leader"));
+            boolean majority = 2 * all.size() > members.names().size();
+            out.println(majority && led ? "the store takes changes" : "the store takes no changes now: "
+                    + (majority ? "nobody leads" : "no majority answers") + "; poolers serve on under what is in force");
+            return majority && led ? 0 : 1;
+        }
+    }
+
+    @Command(name = "members", mixinStandardHelpOptions = true, description = "Lists the members as the log has them.")
+    static final class MembersCommand extends Asking {
+        @Override
+        int run(StoreClient store, Members members) throws IOException {
+            current(store, members).forEach(out::println);
+            return 0;
+        }
+    }
+
+    @Command(name = "add", mixinStandardHelpOptions = true,
+            description = "Takes a member in that has been started, on an empty folder and without --store-first.")
+    static final class AddCommand extends Asking {
+        @Parameters(paramLabel = "NAME=ADDRESS", description = "The new member.")
+        private String added;
+
+        @Override
+        int run(StoreClient store, Members members) throws IOException {
+            TreeSet<String> next = current(store, members);
+            next.add(added);
+            store.change(List.copyOf(next));
+            out.println("members: " + String.join(",", next));
+            return 0;
+        }
+    }
+
+    @Command(name = "remove", mixinStandardHelpOptions = true, description = "Takes a member out; it may be down.")
+    static final class RemoveCommand extends Asking {
+        @Parameters(paramLabel = "NAME", description = "The member.")
+        private String removed;
+
+        @Override
+        int run(StoreClient store, Members members) throws IOException {
+            TreeSet<String> next = current(store, members);
+            if (!next.removeIf(member -> member.startsWith(removed + "="))) {
+                throw new IOException(removed + " is no member: " + String.join(",", next));
+            }
+            store.change(List.copyOf(next));
+            out.println("members: " + String.join(",", next));
+            return 0;
+        }
+    }
+}
--- a/store/src/main/java/holdmux/store/PolicyHistory.java
+++ b/store/src/main/java/holdmux/store/PolicyHistory.java
@@ -1,30 +1,35 @@
 package holdmux.store;
 
 import holdmux.store.Entry.Activate;
+import holdmux.store.Entry.Checked;
 import holdmux.store.Entry.Propose;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * The store's state: every version kept and every activation, in the order of the log. Immutable, so that a step
- * of a member or of the checker copies little, and without clock or I/O: members that apply the same entries hold
- * equal histories.
+ * The store's state: every version kept, every activation and every member's check, in the order of the log.
+ * Immutable, so that a step of a member or of the checker copies little, and without clock or I/O: members that apply
+ * the same entries hold equal histories. Nothing here rests on the member that applies: its own finding about a version
+ * comes in as an entry of its own.
  *
- * @param versions    kept versions, numbered 1, 2, ... in this order
- * @param activations activations in the order they were applied; the last is in force
+ * @param versions    kept versions, numbered 1, 2, ... in this order; the oldest are pruned to their figures
+ * @param activations activations in the order they were applied, the last of them in force; the newest {@link
+ *                    #MOST_ACTIVATIONS}
+ * @param checks      what members found of versions whose text is kept, one for each version and member
  */
-public record PolicyHistory(List<PolicyVersion> versions, List<Activation> activations) {
+public record PolicyHistory(List<PolicyVersion> versions, List<Activation> activations, List<Checked> checks) {
     /** The most a pooler may be asked to wait before it switches. */
     public static final long MOST_DELAY_NS = 60_000_000_000L;
-    /**
-     * Versions kept: a thousand of 1 MiB would not fit a member's memory. Pruning old ones is not built yet, so past
-     * this a proposal is refused with that word.
-     */
-    public static final int MOST_VERSIONS = 1_000;
+    /** Versions listed: figures alone take some 300 bytes each, and nobody changes policy ten times a day for years. */
+    public static final int MOST_VERSIONS = 10_000;
+    /** Text kept, in characters: a member's memory holds it, and each snapshot writes it. The oldest goes first. */
+    static final int MOST_TEXT = 16 << 20;
+    /** Activations kept: what the history shows; the serial goes on. */
+    static final int MOST_ACTIVATIONS = 1_000;
 
     /** The history of a new store: nothing kept, nothing in force. */
-    public static final PolicyHistory EMPTY = new PolicyHistory(List.of(), List.of());
+    public static final PolicyHistory EMPTY = new PolicyHistory(List.of(), List.of(), List.of());
 
     /**
      * One version put in force.
@@ -40,6 +45,7 @@
     public PolicyHistory {
         versions = List.copyOf(versions);
         activations = List.copyOf(activations);
+        checks = List.copyOf(checks);
     }
 
     /** The newest version kept, 0 for none. */
@@ -58,56 +64,111 @@
         return activations.isEmpty() ? Optional.empty() : Optional.of(activations.get(activations.size() - 1));
     }
 
-    /** Whether the entry may be applied to this history; the same on every member for the same validator. */
-    public Verdict check(Entry entry, Validator validator) {
+    /** What members found of a version, in the order they told it. */
+    public List<Checked> checks(long number) {
+        return checks.stream().filter(c -> c.number() == number).toList();
+    }
+
+    /** Whether the entry may be applied to this history; the same on every member, which is why no validator is asked. */
+    public Verdict check(Entry entry) {
         if (entry instanceof Propose propose) {
-            PolicyVersion version = propose.version();
-            if (version.number() != newest() + 1) {
-                return Verdict.refused("version " + version.number() + " cannot follow " + newest()
-                        + "; the newest is " + newest());
-            }
-            if (version.basedOn() != newest()) {
-                return Verdict.refused("version " + version.number() + " was made from " + version.basedOn()
-                        + ", but " + newest() + " was kept meanwhile" + by(newest()) + "; look at the difference"
-                        + " and propose again");
-            }
-            if (!version.intact()) {
-                return Verdict.refused("version " + version.number() + " does not match its checksum: torn on its way");
-            }
-            if (versions.size() >= MOST_VERSIONS) {
-                return Verdict.refused(MOST_VERSIONS + " versions are kept already; the oldest must be pruned");
-            }
-            String problem = validator.problem(version.text());
-            return problem.isEmpty() ? Verdict.ACCEPTED
-                    : Verdict.refused("version " + version.number() + " is not a valid policy: " + problem);
+            return check(propose.version());
         }
-        Activate activate = (Activate) entry;
-        if (version(activate.number()).isEmpty()) {
+        return entry instanceof Activate activate ? check(activate) : check((Checked) entry);
+    }
+
+    private Verdict check(PolicyVersion version) {
+        if (version.number() != newest() + 1) {
+            return Verdict.refused("version " + version.number() + " cannot follow " + newest() + "; the newest is "
+                    + newest() + by(newest()) + "; look at the difference and propose again");
+        }
+        if (version.basedOn() != newest()) {
+            return Verdict.refused("version " + version.number() + " was made from " + version.basedOn() + ", but "
+                    + newest() + " was kept meanwhile" + by(newest()) + "; look at the difference and propose again");
+        }
+        if (version.isPruned() || !version.intact()) {
+            return Verdict.refused("version " + version.number() + " does not match its checksum: torn on its way");
+        }
+        if (versions.size() >= MOST_VERSIONS) {
+            return Verdict.refused(MOST_VERSIONS + " versions are kept already: begin a new store");
+        }
+        return Verdict.ACCEPTED;
+    }
+
+    private Verdict check(Activate activate) {
+        PolicyVersion version = version(activate.number()).orElse(null);
+        if (version == null) {
             return Verdict.refused("version " + activate.number() + " is not kept; the newest is " + newest());
         }
+        if (version.isPruned()) {
+            return Verdict.refused("version " + activate.number() + " is too old: its text is no longer kept");
+        }
         if (activate.delayNs() < 0 || activate.delayNs() > MOST_DELAY_NS) {
             return Verdict.refused("a delay of " + activate.delayNs() + " ns is outside 0 to " + MOST_DELAY_NS);
         }
         if (active().map(a -> a.number() == activate.number()).orElse(false)) {
             return Verdict.refused("version " + activate.number() + " is in force already");
         }
-        return Verdict.ACCEPTED;
+        int valid = 0;
+        for (Checked c : checks(activate.number())) {
+            if (!c.problem().isEmpty()) {
+                return Verdict.refused("member " + c.member() + " cannot serve under version " + activate.number()
+                        + ": " + c.problem());
+            }
+            valid++;
+        }
+        return valid >= activate.quorum() ? Verdict.ACCEPTED : Verdict.refused("only " + valid + " of the "
+                + activate.quorum() + " members needed have checked version " + activate.number() + " so far");
+    }
+
+    private Verdict check(Checked found) {
+        PolicyVersion version = version(found.number()).orElse(null);
+        if (version == null || version.isPruned()) {
+            return Verdict.refused("version " + found.number() + " is not kept");
+        }
+        return checks.contains(found) ? Verdict.refused("told already") : Verdict.ACCEPTED;
     }
 
     /** The history with the entry applied where {@link #check} accepts it, else this same history. */
-    public PolicyHistory apply(Entry entry, Validator validator) {
-        if (!check(entry, validator).accepted()) {
+    public PolicyHistory apply(Entry entry) {
+        if (!check(entry).accepted()) {
             return this;
         }
         if (entry instanceof Propose propose) {
             List<PolicyVersion> more = new ArrayList<>(versions);
             more.add(propose.version());
-            return new PolicyHistory(more, activations);
+            return new PolicyHistory(prune(more), activations, checks).withoutChecksOfPruned();
+        }
+        if (entry instanceof Checked found) {
+            List<Checked> more = new ArrayList<>(checks);
+            // a member that runs another version of the program meanwhile may find otherwise
+            more.removeIf(c -> c.number() == found.number() && c.member().equals(found.member()));
+            more.add(found);
+            return new PolicyHistory(versions, activations, more);
         }
         Activate activate = (Activate) entry;
         List<Activation> more = new ArrayList<>(activations);
-        more.add(new Activation(activate.number(), activate.delayNs(), activations.size() + 1L, activate.by()));
-        return new PolicyHistory(versions, more);
+        long serial = active().map(Activation::serial).orElse(0L) + 1;
+        more.add(new Activation(activate.number(), activate.delayNs(), serial, activate.by()));
+        return new PolicyHistory(versions, more.subList(Math.max(0, more.size() - MOST_ACTIVATIONS), more.size()), checks);
+    }
+
+    /** Drops the text of the oldest versions beyond {@link #MOST_TEXT}, never of the newest or the one in force. */
+    private List<PolicyVersion> prune(List<PolicyVersion> all) {
+        long text = all.stream().mapToLong(v -> v.text().length()).sum();
+        long inForce = active().map(Activation::number).orElse(0L);
+        for (int i = 0; i < all.size() - 1 && text > MOST_TEXT; i++) {
+            if (all.get(i).number() != inForce) {
+                text -= all.get(i).text().length();
+                all.set(i, all.get(i).pruned());
+            }
+        }
+        return all;
+    }
+
+    private PolicyHistory withoutChecksOfPruned() {
+        return new PolicyHistory(versions, activations,
+                checks.stream().filter(c -> !version(c.number()).orElseThrow().isPruned()).toList());
     }
 
     private String by(long number) {
--- /dev/null
+++ b/store/src/main/java/holdmux/store/PolicyText.java
@@ -0,0 +1,62 @@
+package holdmux.store;
+
+import holdmux.config.Config;
+import holdmux.config.ConfigException;
+import holdmux.config.SettingsReader;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * What the text of a policy says: {@code {"settings":{...},"discovery":"10.0.0.1:8500","excluded":["s-1"],
+ * "evacuated":["pooler-7"]}}, all but {@code settings} optional.
+ *
+ * @param settings  the {@code settings} object of a pooler's configuration; the keys that are each pooler's own
+ *                  ({@link SettingsReader#OWN}) count from its file, whatever stands here
+ * @param discovery where the server list is asked for, null to leave that to each pooler's file
+ * @param excluded  servers that every pooler leaves out, by name, beside those its own operators left out
+ * @param evacuated poolers, by name, that send their clients away
+ */
+public record PolicyText(JSONObject settings, InetSocketAddress discovery, Set<String> excluded, Set<String> evacuated) {
+    private static final List<String> KEYS = List.of("settings", "discovery", "excluded", "evacuated");
+
+    /**
+     * Reads and checks a text as {@code serve} would take it up.
+     *
+     * @throws ConfigException with the first problem, in the operator's words
+     */
+    public static PolicyText read(String text) {
+        try {
+            JSONObject all = new JSONObject(text);
+            for (String key : new TreeSet<>(all.keySet())) {
+                if (!KEYS.contains(key)) {
+                    throw new ConfigException("unknown key " + key + "; a policy has " + String.join(", ", KEYS));
+                }
+            }
+            JSONObject settings = all.getJSONObject("settings");
+            SettingsReader.check(settings);
+            return new PolicyText(settings, all.has("discovery") ? Config.address(all.getString("discovery")) : null,
+                    names(all, "excluded"), names(all, "evacuated"));
+        } catch (JSONException e) {
+            throw new ConfigException("policy: " + e.getMessage());
+        }
+    }
+
+    private static Set<String> names(JSONObject all, String key) {
+        JSONArray listed = all.has(key) ? all.getJSONArray(key) : new JSONArray();
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < listed.length(); i++) {
+            String name = listed.getString(i);
+            if (name.isEmpty()) {
+                throw new ConfigException(key + "." + i + " is empty");
+            }
+            names.add(name);
+        }
+        return Set.copyOf(names);
+    }
+}
--- a/store/src/main/java/holdmux/store/PolicyVersion.java
+++ b/store/src/main/java/holdmux/store/PolicyVersion.java
@@ -7,11 +7,11 @@
 import java.util.Objects;
 
 /**
- * One whole policy as the operators proposed it: the {@code settings} object of a pooler's configuration, as text.
+ * One whole policy as the operators proposed it, as text (see {@link PolicyText}).
  *
  * @param number  the version, 1 for the first; each is one more than the version it was made from
  * @param basedOn the version that the proposer saw as the newest when it was made, 0 for none
- * @param text    the settings as JSON, at most {@link #MOST_BYTES} bytes of UTF-8
+ * @param text    JSON, at most {@link #MOST_BYTES} bytes of UTF-8; empty once {@linkplain #pruned pruned}
  * @param sha256  SHA-256 of {@code text} in UTF-8, 64 hex digits: what every member checks before it accepts
  * @param by      who proposed it, for the history; any text of at most 200 characters
  */
@@ -45,6 +45,16 @@
         return checksum(text).equals(sha256);
     }
 
+    /** What is left of a version that is too old to be rolled back to: its number, checksum and proposer. */
+    PolicyVersion pruned() {
+        return new PolicyVersion(number, basedOn, "", sha256, by);
+    }
+
+    /** Whether the text is gone. */
+    public boolean isPruned() {
+        return text.isEmpty();
+    }
+
     /** The first twelve digits of the checksum, as logs and {@code SHOW STATS} name a version beside its number. */
     public String shortSum() {
         return sha256.substring(0, Math.min(12, sha256.length()));
--- a/store/src/main/java/holdmux/store/PolicyView.java
+++ b/store/src/main/java/holdmux/store/PolicyView.java
@@ -11,8 +11,8 @@
  * <p>The store tells only what is committed; a pooler therefore never acts on a version that is not. A pooler that
  * hears within the bound switches {@code delayNs} after it heard of an activation; one that starts or comes back from
  * longer than the bound switches at once, since it did not serve meanwhile. Where several activations wait, the newest
- * that is due is put in force: a pooler serves what was newest at the store when it heard it, {@code delayNs} before. Not thread-safe: a host is to keep it
- * behind one lock and swap the settings that a decision names as one immutable snapshot (no host is wired yet).
+ * that is due is put in force: a pooler serves what was newest at the store when it heard it, {@code delayNs} before. Not
+ * thread-safe: its host keeps it behind one lock and swaps the settings that a decision names as one immutable snapshot.
  */
 public final class PolicyView {
     /** What the pooler does at a moment. */
@@ -129,6 +129,23 @@
         return new Serve(serving, servingSerial, age, everHeard);
     }
 
+    /** Until when what {@link #at} told at this moment holds if nothing more is heard; this moment for a refusal. */
+    public long holdsUntil(long nowNs) {
+        if (!(at(nowNs) instanceof Serve serve)) {
+            return nowNs;
+        }
+        long until = nowNs + boundNs - serve.ageNs() + 1;
+        for (Pending next : pending) {
+            until = next.atNs() - until < 0 ? next.atNs() : until;
+        }
+        return until;
+    }
+
+    /** The newest activation that this pooler has heard of, in force or not; 0 for none. */
+    public long seenSerial() {
+        return seenSerial;
+    }
+
     /** The newest activation heard of and not yet in force, if any. */
     public Activation pending() {
         return pending.isEmpty() ? null : pending.getLast().activation();
--- a/store/src/test/java/holdmux/store/PolicyHistoryTest.java
+++ b/store/src/test/java/holdmux/store/PolicyHistoryTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.store.Entry.Activate;
+import holdmux.store.Entry.Checked;
 import holdmux.store.Entry.Propose;
 import java.io.IOException;
 import java.io.InputStream;
@@ -30,17 +31,18 @@
         }
     }
 
-    static String settingsWith(String key, Object value) {
-        JSONObject object = new JSONObject(settings());
-        object.put(key, value);
-        return object.toString();
+    static String policy() {
+        return new JSONObject().put("settings", new JSONObject(settings())).toString();
+    }
+
+    static String policyWith(String key, Object value) {
+        return new JSONObject().put("settings", new JSONObject(settings()).put(key, value)).toString();
     }
 
     private static PolicyHistory kept(int count) {
         PolicyHistory history = PolicyHistory.EMPTY;
         for (int i = 1; i <= count; i++) {
-            history = history.apply(new Propose(PolicyVersion.of(i, i - 1, settingsWith("over-share-worth", i), "a")),
-                    Validator.SETTINGS);
+            history = history.apply(new Propose(PolicyVersion.of(i, i - 1, policyWith("over-share-worth", i), "a")));
         }
         return history;
     }
@@ -48,11 +50,12 @@
     /** Entries survive the log whole; what is not an entry is refused, unread where it is too long. */
     @Test
     void entriesComeBackFromTheLogAsTheyWent() {
-        for (Entry entry : List.of(new Propose(PolicyVersion.of(3, 2, settings(), "ana")), new Activate(3, 9, "ana"))) {
+        for (Entry entry : List.of(new Propose(PolicyVersion.of(3, 2, policy(), "ana")), new Activate(3, 9, "ana", 2),
+                new Checked(3, "n1", "no classes"))) {
             assertEquals(entry, EntryCodec.decode(EntryCodec.encode(entry)));
         }
         for (String text : List.of("", "[]", "{}", "{\"activate\":{\"number\":1}}", "{\"propose\":{},\"activate\":{}}",
-                "{\"activate\":{\"number\":1,\"delayNs\":0,\"by\":\"" + "x".repeat(201) + "\"}}")) {
+                "{\"activate\":{\"number\":1,\"delayNs\":0,\"quorum\":1,\"by\":\"" + "x".repeat(201) + "\"}}")) {
             assertThrows(IllegalArgumentException.class, () -> EntryCodec.decode(text.getBytes(StandardCharsets.UTF_8)));
         }
         assertThrows(IllegalArgumentException.class, () -> EntryCodec.decode(new byte[EntryCodec.MOST_BYTES + 1]));
@@ -62,45 +65,75 @@
     @Test
     void theSecondOfTwoProposalsFromOneVersionIsRefused() {
         PolicyHistory history = kept(2);
-        PolicyVersion late = PolicyVersion.of(3, 1, settings(), "bob");
-        Verdict verdict = history.check(new Propose(late), Validator.SETTINGS);
+        PolicyVersion late = PolicyVersion.of(3, 1, policy(), "bob");
+        Verdict verdict = history.check(new Propose(late));
         assertFalse(verdict.accepted());
         assertTrue(verdict.reason().contains("2 was kept meanwhile by a"), verdict.reason());
-        assertSame(history, history.apply(new Propose(late), Validator.SETTINGS));
+        assertSame(history, history.apply(new Propose(late)));
     }
 
     @Test
     void aVersionThatDoesNotMatchItsChecksumIsRefused() {
         PolicyVersion torn = new PolicyVersion(1, 0, settings(), PolicyVersion.checksum(settings() + " "), "a");
-        Verdict verdict = PolicyHistory.EMPTY.check(new Propose(torn), Validator.SETTINGS);
+        Verdict verdict = PolicyHistory.EMPTY.check(new Propose(torn));
         assertFalse(verdict.accepted());
         assertTrue(verdict.reason().contains("checksum"), verdict.reason());
     }
 
-    /** The schema and limits of the pooler itself: what serve would refuse is refused before it is kept. */
+    /** The schema and limits of the pooler itself: what serve would refuse no member finds valid. */
+    @Test
+    void aPolicyThatThePoolerCouldNotTakeUpIsNotValid() {
+        for (String text : List.of(policyWith("step-ns", 0), policyWith("balancers", "many"), "{", "[]", settings(),
+                new JSONObject(policy()).put("discovery", "a name").toString(),
+                new JSONObject(policy()).put("excluded", List.of("")).toString(),
+                policyWith("request-classes", List.of()), " ".repeat(PolicyVersion.MOST_BYTES) + policy())) {
+            assertFalse(Validator.POLICY.problem(text).isEmpty(), text);
+        }
+        assertEquals("", Validator.POLICY.problem(new JSONObject(policy()).put("discovery", "127.0.0.1:85")
+                .put("excluded", List.of("s-1")).put("evacuated", List.of("p1")).toString()));
+    }
+
+    /** A member that runs another version of the program may find a version invalid: then nobody is put under it. */
+    @Test
+    void aVersionThatAMemberFindsInvalidOrTooFewHaveCheckedIsNotActivated() {
+        PolicyHistory history = kept(1).apply(new Checked(1, "n1", ""));
+        assertTrue(history.check(new Activate(1, 0, "a", 2)).reason().startsWith("only 1 of the 2"));
+        PolicyHistory refused = history.apply(new Checked(1, "n2", "no such guard"));
+        assertTrue(refused.check(new Activate(1, 0, "a", 1)).reason().contains("n2 cannot serve"));
+        PolicyHistory mended = refused.apply(new Checked(1, "n2", ""));
+        assertEquals(1, mended.apply(new Activate(1, 0, "a", 2)).active().orElseThrow().number());
+        assertSame(mended, mended.apply(new Checked(1, "n2", "")), "told again");
+    }
+
+    /** Texts of old versions go, the newest's and the one's in force stay: a member's memory is bounded. */
     @Test
-    void aPolicyThatThePoolerCouldNotTakeUpIsRefused() {
-        for (String text : List.of(settingsWith("step-ns", 0), settingsWith("balancers", "many"), "{", "[]",
-                new JSONObject(settings()).put("request-classes", List.of()).toString())) {
-            Verdict verdict = PolicyHistory.EMPTY.check(new Propose(PolicyVersion.of(1, 0, text, "a")),
-                    Validator.SETTINGS);
-            assertFalse(verdict.accepted(), text);
-            assertTrue(verdict.reason().startsWith("version 1 is not a valid policy: "), verdict.reason());
+    void oldTextsArePrunedButNeverWhatIsInForceOrNewest() {
+        PolicyHistory history = kept(1).apply(new Activate(1, 0, "a", 0));
+        String large = " ".repeat(PolicyVersion.MOST_BYTES - 1);
+        for (int i = 2; i <= 40; i++) {
+            history = history.apply(new Propose(PolicyVersion.of(i, i - 1, large + i % 10, "a")))
+                    .apply(new Checked(i, "n1", ""));
         }
-        assertTrue(Validator.SETTINGS.problem(settings()).isEmpty(), Validator.SETTINGS.problem(settings()));
+        assertTrue(history.versions().stream().mapToLong(v -> v.text().length()).sum() <= PolicyHistory.MOST_TEXT);
+        assertFalse(history.version(1).orElseThrow().isPruned());
+        assertFalse(history.version(40).orElseThrow().isPruned());
+        assertTrue(history.version(2).orElseThrow().isPruned());
+        assertTrue(history.check(new Activate(2, 0, "a", 0)).reason().contains("no longer kept"));
+        assertTrue(history.checks().stream().noneMatch(c -> c.number() == 2), "nothing is kept of checks either");
+        assertEquals(history, Forms.history(Forms.of(history, true)), "a snapshot keeps all of it");
     }
 
     @Test
     void activationNamesAKeptVersionOnceAndRollsBackByNumber() {
         PolicyHistory history = kept(2);
         assertTrue(history.active().isEmpty(), "kept is not in force");
-        assertFalse(history.check(new Activate(3, 0, "a"), Validator.SETTINGS).accepted(), "not kept");
-        assertFalse(history.check(new Activate(2, -1, "a"), Validator.SETTINGS).accepted(), "negative delay");
-        assertFalse(history.check(new Activate(2, PolicyHistory.MOST_DELAY_NS + 1, "a"), Validator.SETTINGS)
+        assertFalse(history.check(new Activate(3, 0, "a", 0)).accepted(), "not kept");
+        assertFalse(history.check(new Activate(2, -1, "a", 0)).accepted(), "negative delay");
+        assertFalse(history.check(new Activate(2, PolicyHistory.MOST_DELAY_NS + 1, "a", 0))
                 .accepted(), "too long a delay");
-        history = history.apply(new Activate(2, 0, "a"), Validator.SETTINGS);
-        assertFalse(history.check(new Activate(2, 0, "a"), Validator.SETTINGS).accepted(), "in force already");
-        history = history.apply(new Activate(1, 5, "b"), Validator.SETTINGS);
+        history = history.apply(new Activate(2, 0, "a", 0));
+        assertFalse(history.check(new Activate(2, 0, "a", 0)).accepted(), "in force already");
+        history = history.apply(new Activate(1, 5, "b", 0));
         assertEquals(new PolicyHistory.Activation(1, 5, 2, "b"), history.active().orElseThrow());
     }
 
@@ -116,14 +149,14 @@
             int number = 1 + random.nextInt(6);
             log.add(random.nextBoolean()
                     ? new Propose(PolicyVersion.of(number, number - 1 - random.nextInt(2),
-                            random.nextInt(5) == 0 ? "{}" : settingsWith("over-share-worth", random.nextInt(9)),
+                            random.nextInt(5) == 0 ? "{}" : policyWith("over-share-worth", random.nextInt(9)),
                             "op" + random.nextInt(2)))
-                    : new Activate(number, random.nextInt(3), "op"));
+                    : new Activate(number, random.nextInt(3), "op", 0));
         }
         PolicyHistory one = PolicyHistory.EMPTY;
         for (Entry entry : log) {
-            PolicyHistory next = one.apply(entry, Validator.SETTINGS);
-            if (!one.check(entry, Validator.SETTINGS).accepted()) {
+            PolicyHistory next = one.apply(entry);
+            if (!one.check(entry).accepted()) {
                 assertSame(one, next);
             }
             one = next;
