Ask the gate without the lock that a switch needs

Cause: Steered.takes held its lock while it asked the gate, which may wait for StorePart's lock; a switch holds StorePart's and wants Steered's (putInForce). A readiness call at the moment of a switch could have stopped both for ever. Found by reading, not seen. takes() now holds no lock.

--- a/pooler/src/main/java/holdmux/Steered.java
+++ b/pooler/src/main/java/holdmux/Steered.java
@@ -15,7 +15,7 @@
 final class Steered implements Steering {
     private final Services services;
     private final Watch watch;
-    private OrdersInForce orders;
+    private volatile OrdersInForce orders;
     private InetSocketAddress fileDiscovery;
     private boolean byFleet, discoveryByFleet;
 
@@ -26,7 +26,7 @@
     }
 
     /** Names who puts orders in force; before any part begins. */
-    synchronized void orders(OrdersInForce orders) {
+    void orders(OrdersInForce orders) {
         this.orders = orders;
     }
 
@@ -69,8 +69,11 @@
         services.show(name, value);
     }
 
-    /** Whether new requests are taken, as far as the fleet's policy has a say. */
-    synchronized boolean takes() {
-        return services.admission().closed() == null && (orders == null || !orders.fleetEvacuates());
+    /**
+     * Whether new requests are taken, as far as the fleet's policy has a say. Takes no lock: whoever answers for the gate
+     * may be putting a policy in force here meanwhile.
+     */
+    boolean takes() {
+        return services.admission().closed() == null && !orders.fleetEvacuates();
     }
 }
