--- a/app/src/main/java/holdmux/app/StoreCommands.java
+++ b/app/src/main/java/holdmux/app/StoreCommands.java
@@ -46,6 +46,13 @@
                 .orElseThrow(() -> new IOException("nobody leads the store now, as when no majority of its members is up"));
     }
 
+    /** Makes these the members, and tells them. */
+    private static int put(StoreClient store, TreeSet<String> next) throws IOException {
+        store.change(List.copyOf(next));
+        System.out.println("members: " + String.join(",", next));
+        return 0;
+    }
+
     @Command(name = "status", mixinStandardHelpOptions = true,
             description = "Tells how each member stands; 0 if a majority of them answers and one leads.")
     static final class StatusCommand extends Asking {
@@ -83,9 +90,7 @@
         int run(StoreClient store, Members members) throws IOException {
             TreeSet<String> next = current(store);
             next.add(added);
-            store.change(List.copyOf(next));
-            out.println("members: " + String.join(",", next));
-            return 0;
+            return put(store, next);
         }
     }
 
@@ -100,9 +105,7 @@
             if (!next.removeIf(member -> member.startsWith(removed + "="))) {
                 throw new IOException(removed + " is no member: " + String.join(",", next));
             }
-            store.change(List.copyOf(next));
-            out.println("members: " + String.join(",", next));
-            return 0;
+            return put(store, next);
         }
     }
 }
--- a/store/src/main/java/holdmux/store/host/StorePart.java
+++ b/store/src/main/java/holdmux/store/host/StorePart.java
@@ -75,7 +75,6 @@
     private volatile String closed = "";
     /** Until then nothing new needs to be looked at before a request is taken. */
     private volatile long openUntilNs;
-    private volatile StoreMember member;
 
     public StorePart(StoreOptions options) {
         this.options = options;
@@ -136,18 +135,19 @@
 
     /** Starts the member, time and again where it cannot: the pooler serves without it, following the others. */
     private void keepMember() {
+        StoreMember member = null;
         while (true) {
             try {
-                StoreMember now = member;
-                if (now == null) {
+                if (member == null) {
                     member = new StoreMember(options.id(), options.members(), options.listen() == null
-                            ? options.members().address(options.id()) : options.listen(), options.folder().resolve("log"), options.first(),
-                            Validator.POLICY);
+                            ? options.members().address(options.id()) : options.listen(), options.folder().resolve("log"),
+                            options.first(), Validator.POLICY);
                     Log.info("store: member " + options.id() + " takes part");
-                } else if (!now.failure().isEmpty()) {
-                    Log.warn("store: member " + options.id() + " is started again: " + now.failure());
+                } else if (!member.failure().isEmpty()) {
+                    Log.warn("store: member " + options.id() + " is started again: " + member.failure());
+                    StoreMember failed = member;
                     member = null;
-                    now.close();
+                    failed.close();
                 }
             } catch (IOException | RuntimeException e) {
                 Log.warn("store: member " + options.id() + " takes no part: " + e.getMessage());
--- a/store/src/main/java/holdmux/store/raft/StoreClient.java
+++ b/store/src/main/java/holdmux/store/raft/StoreClient.java
@@ -45,7 +45,7 @@
     private static final int CONFIRM_BOUNDS = 5, CONFIRM_AGAIN_MS = 30;
 
     /** How one member of the store stands, as it says itself. */
-    public record Standing(String name, String address, boolean leads, String role, long committed, List<String> members) {}
+    public record Standing(String name, String address, String role, long committed, List<String> members) {}
 
     /** Those that this was told of and those that members told of since. */
     private volatile Members members;
@@ -164,7 +164,7 @@
             RoleInfoProto role = info.getRoleInfoProto();
             List<String> told = info.getGroup().getPeers().stream().map(Members::shown).sorted().toList();
             learn(told);
-            return new Standing(member, role.getSelf().getAddress().replaceAll(".*@", ""), role.hasLeaderInfo(),
+            return new Standing(member, role.getSelf().getAddress().replaceAll(".*@", ""),
                     role.getRole().name().toLowerCase(Locale.ROOT),
                     info.getCommitInfos().stream().filter(c -> c.getServer().getId().toStringUtf8().equals(member))
                             .mapToLong(c -> c.getCommitIndex()).findFirst().orElse(-1),
