Answer everything before a process ends, and ask again right before a send is written

Change: Drain.

Change: Attempt.stands, asked with the connection up and before anything is written (counter sends_outdated); an answer's role counts from when its request was sent.

--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -30,15 +30,6 @@
 
 /** One pooler as a process: wiring, signals and the drain. */
 public final class Serve {
-    /** After SIGTERM new connections keep coming for up to 0.4 s; the rest is margin for a busy core. */
-    private static final long ACCEPT_MS = 600;
-    /** SIGKILL may come this long after SIGTERM and the longest deadline, of which no more than 3 s count. */
-    private static final long KILL_MS = 700, LONGEST_MS = 3_000;
-    /** Kept clear of SIGKILL: the program's own end on a busy core. */
-    private static final long EXIT_MS = 200;
-    /** Before the end connections at rest are closed: time enough for an answer of the usual kind. */
-    private static final long CLOSE_MS = 200;
-    private static final long LOOK_MS = 20;
     /** The counters go to the log once a minute, as is usual for poolers. */
     private static final long REPORT_MS = 60_000;
 
@@ -160,31 +151,24 @@
         });
     }
 
-    /**
-     * SIGTERM: goes on accepting for a while and serving the connections there are for as long as it may live, since
-     * their clients would find no other pooler sooner; takes nothing that it could not answer by then.
-     */
+    /** SIGTERM: see {@link Drain}. */
     private static void drain(Fronts fronts, Balancer balancer, Upgrade upgrade, Counters counters) {
         try {
             Log.info("draining");
+            long start = System.nanoTime();
             long longest = balancer.deployment().settings().classes().stream()
                     .mapToLong(RequestClass::deadlineNs).max().orElse(0) / Clock.MS;
-            long end = KILL_MS + Math.min(LONGEST_MS, longest) - EXIT_MS;
-            long start = System.nanoTime();
-            fronts.endAfter(end * Clock.MS);
-            if (upgrade.otherServes()) {
-                fronts.handOver();
-            } else {
-                Thread.sleep(ACCEPT_MS);
-            }
-            fronts.stopAccepting();
-            for (long past = 0; fronts.openClients() > 0 && past < end;
-                    past = (System.nanoTime() - start) / Clock.MS) {
-                if (past >= end - CLOSE_MS) {
-                    fronts.closeWhenIdle();
+            Drain.run(fronts, balancer::giveUpAll, upgrade.otherServes(), longest, new Drain.Time() {
+                @Override
+                public long passedMs() {
+                    return (System.nanoTime() - start) / Clock.MS;
                 }
-                Thread.sleep(LOOK_MS);
-            }
+
+                @Override
+                public void pause(long ms) throws InterruptedException {
+                    Thread.sleep(ms);
+                }
+            });
             Log.info("ends with " + fronts.openClients() + " clients; " + counters);
         } catch (InterruptedException e) {
             Log.error("the drain was cut short", e);
--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -3,6 +3,7 @@
 import holdmux.decision.SplitterApi.Outcome;
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.function.BooleanSupplier;
 
 /**
  * One send to one server while it runs. The thread that carries it out blocks on the connection it has handed in;
@@ -14,17 +15,20 @@
     public final long limitNs;
     /** The number of this attempt within its request. */
     final int number;
+    private final BooleanSupplier stands;
     private Closeable connection;
     private Outcome cutAs;
     private boolean written;
     private boolean connected;
     private boolean over;
 
-    Attempt(long store, int number, long startedAt, long limitNs) {
+    /** {@code stands}: whether what the send was decided on still holds; see {@link #stands}. */
+    Attempt(long store, int number, long startedAt, long limitNs, BooleanSupplier stands) {
         this.store = store;
         this.number = number;
         this.startedAt = startedAt;
         this.limitNs = limitNs;
+        this.stands = stands;
     }
 
     /** Puts the attempt on a connection; false, with the connection closed, if it was cut off before. */
@@ -42,6 +46,14 @@
         connected = true;
     }
 
+    /**
+     * Whether it may still be written, asked right before that: a connection that came up late has let data grow older
+     * than a bound allows, a server lose its role or begin to drain. Where not, it was never sent.
+     */
+    public boolean stands() {
+        return stands.getAsBoolean();
+    }
+
     /** From the last byte on it may have run. */
     public synchronized void written() {
         written = true;
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -15,6 +15,7 @@
 import holdmux.decision.SplitterApi.Consistency;
 import holdmux.decision.SplitterApi.Decline;
 import holdmux.decision.SplitterApi.Event;
+import holdmux.decision.SplitterApi.GiveUp;
 import holdmux.decision.SplitterApi.Inspect;
 import holdmux.decision.SplitterApi.ListChanged;
 import holdmux.decision.SplitterApi.Outcome;
@@ -246,6 +247,20 @@
         }
     }
 
+    /**
+     * Gives every open request its final answer now: refused where that is true, else failed. Until then it is the
+     * module's to say when; from here on this process ends, and an answer later than that is none.
+     */
+    public void giveUpAll() {
+        lock.lock();
+        try {
+            List.copyOf(open.values()).stream().filter(request -> !request.over)
+                    .forEach(request -> feed(new GiveUp(request.id)));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private static Counter outcomeCounter(Outcome outcome) {
         return Counter.valueOf("ATTEMPT_" + outcome.name());
     }
@@ -348,12 +363,22 @@
 
     private void transmit(Transmit t) {
         Request request = open.get(t.id());
-        Attempt attempt = new Attempt(t.store(), request.attempts.size(), clock.now(), t.limitNs());
+        int number = request.attempts.size();
+        Attempt attempt = new Attempt(t.store(), number, clock.now(), t.limitNs(), () -> stands(request, number));
         request.attempts.add(attempt);
         counters.count(Counter.ATTEMPTS);
         request.post(new Request.Send(attempt));
     }
 
+    private boolean stands(Request request, int number) {
+        lock.lock();
+        try {
+            return module.stands(clock.now(), request.id, number);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void end(long id, Action answer) {
         Request request = open.get(id);
         if (request != null && !request.over) {
@@ -364,7 +389,7 @@
 
     private void inspect(long store) {
         counters.count(Counter.PROBES);
-        Attempt attempt = new Attempt(store, 0, clock.now(), deployment.connectTimeoutNs());
+        Attempt attempt = new Attempt(store, 0, clock.now(), deployment.connectTimeoutNs(), () -> true);
         try {
             workers.execute(() -> probe(attempt));
         } catch (RejectedExecutionException e) {
--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -276,6 +276,8 @@
                 sink.accept(new Subscribe(true));
             } else if (event instanceof ClientLeft e && opens.containsKey(e.id())) {
                 close(opens.get(e.id()));
+            } else if (event instanceof GiveUp e && opens.containsKey(e.id())) {
+                finish(opens.get(e.id()));
             } else if (event instanceof ListChanged e) {
                 listChanged(e);
             } else if (event instanceof Written e) {
@@ -438,10 +440,8 @@
         return best;
     }
 
-    /**
-     * Whether a store has room beside what it must do anyway; asked first where its report is old. Guards
-     * against all fronts piling their reads on one primary; costs a probe's time where replicas lag.
-     */
+    /** Whether a store has room beside what it must do anyway; asked first where its report is old. Guards
+     * against all fronts piling their reads on one primary; costs a probe's time where replicas lag. */
     private boolean hasRoom(Store s) {
         boolean asked = now - s.queueAt > queueTime && settings.queueField() >= 0 && inspect(s, false);
         return !asked && queue(s) < 1 && s.out < ROOM * Math.max(FREE_SLOTS, s.load);
@@ -482,9 +482,7 @@
     /** The only way out to a store: checks the rules, then starts an attempt. */
     private boolean send(Open o, Store s) {
         boolean alone = o.inFlight == 0 || o.limits.duplicates() && o.safe();
-        boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
-        if (o.done || s.group != o.group || !s.listed() || !repeatable(o) || !alone || !fresh
-                || !coldRoom(s, o.pace.base)) {
+        if (o.done || !repeatable(o) || !alone || !allowed(o, s) || !coldRoom(s, o.pace.base)) {
             return false;
         }
         s.coldLevel += o.pace.base;
@@ -501,12 +499,24 @@
         return true;
     }
 
+    /** Whether the list and the age of its data allow a request to go to a store at this moment. */
+    private boolean allowed(Open o, Store s) {
+        boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
+        return s.group == o.group && s.listed() && fresh;
+    }
+
+    /** Asked right before an attempt is written: its connection may have taken long to come up. */
+    public boolean stands(long now, long id, int attempt) {
+        this.now = now;
+        Open o = opens.get(id);
+        return o != null && !o.done && allowed(o, o.attempts.get(attempt).store);
+    }
+
     private long limit(Open o, Store s) {
         long left = o.deadline - now;
-        if (!o.safe() || o.attempts.size() >= o.limits.maxAttempts()) {
-            return left;
-        }
-        return Math.min(left, (long) Math.max(PATIENCE * expected(s, o), USEFUL_PART * (o.giveUpAt - now)));
+        boolean only = !o.safe() || o.attempts.size() >= o.limits.maxAttempts();
+        double patience = Math.max(PATIENCE * expected(s, o), USEFUL_PART * (o.giveUpAt - now));
+        return only ? left : Math.min(left, (long) patience);
     }
 
     /** The only final answer of this module: refused where that is true, else failed. */
@@ -557,10 +567,8 @@
     }
 
     private void unhold(Open o) {
-        if (o.held) {
-            o.held = false;
-            o.group.held.remove(o);
-        }
+        o.held = false;
+        o.group.held.remove(o);
     }
 
     /** Work for each unit of worth. */
@@ -644,7 +652,7 @@
         }
         o.reached |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touched.add(o.group);
-        reported(a.store, e.report());
+        reported(a.store, e.report(), e.role() == Role.PRIMARY);
         evidence(o, a, e);
         health(o, a, e);
         if (e.isFinal() || o.done) {
@@ -668,7 +676,7 @@
     private void evidence(Open o, Attempt a, Answered e) {
         Store s = a.store;
         if (e.role() == Role.PRIMARY) {
-            leads(s, now);
+            leads(s, a.sentAt); // not when it came: what is on its way for long must not undo a newer denial
         } else if (e.role() == Role.REPLICA) {
             leadsNot(s, now);
         }
@@ -768,11 +776,8 @@
         s.breaks = 0;
     }
 
-    /**
-     * One connection broke: an answer was spoilt, an idle close crossed a request, or the process ended. Only
-     * some breaks with no answer between make a store ill, and only if it stays so for a while is it taken to
-     * be cold: warm ones must not be shut out. Costs further attempts at a store that is down.
-     */
+    /** One connection broke, spoilt or closed when idle or with its process: only some with no answer between
+     * make a store ill, and cold only if it stays so for a while. Costs attempts at one that is down. */
     private void broke(Store s) {
         s.breaks++;
         if (s.breaks >= BREAKS || s.ill) {
@@ -780,10 +785,8 @@
         }
     }
 
-    /**
-     * The one judgement of a store: silence, lost answers, refused connects, resets, failed probes and errors
-     * that another store did not make. An ill store rests, then must answer a probe, then gets one trial.
-     */
+    /** The one judgement of a store: silence, lost answers, refused connects, resets, failed probes, errors
+     * that others did not make. An ill store rests, then must answer a probe, then gets one trial. */
     private void suspect(Store s) {
         if (!s.ill) {
             s.ill = true;
@@ -820,10 +823,8 @@
         return o.pace.base * Math.max(1, s.ratio * (s.out + 1) / Math.max(FREE_SLOTS, s.load));
     }
 
-    /**
-     * Whether a store can be expected to answer this request in time. Guards against queues that make all
-     * late, from overload, slow machines or other fronts; refuses too much where answer times scatter widely.
-     */
+    /** Whether a store can be expected to answer in time. Guards against queues that make all late, from
+     * overload, slow machines or other fronts; refuses too much where answer times scatter widely. */
     private boolean usable(Store s, Open o) {
         if (!s.listed() || !s.proven || !coldRoom(s, o.pace.base)) {
             return false;
@@ -873,10 +874,8 @@
         return s.coldLevel == 0 || s.coldLevel + work <= COLD_BURST * rate * settings.rules().fallNs();
     }
 
-    /**
-     * Work per time that this front sends to a busy store, by the peak of late: what cold stores may not take
-     * must not lower what they may take next. At least its share of most of the cores of a store.
-     */
+    /** Work per time that this front sends to a busy store, by the peak of late: what cold ones may not take
+     * must not lower what they may take next. At least its share of most of the cores of a store. */
     private double usualCarry() {
         return Math.max(peak * Math.exp(-(now - carryAt) / PEAK_NS), 0.6 * CORES / settings.balancers());
     }
@@ -940,7 +939,7 @@
             s.proven = true;
             s.cut = false;
             s.probedWellAt = now;
-            reported(s, e.report());
+            reported(s, e.report(), false);
         } else if (e.outcome() == Outcome.RESET) {
             broke(s);
         } else if (e.outcome() != Outcome.FULL && s.answeredAt < s.probedAt && s.probedAt > stalledAt) {
@@ -950,8 +949,8 @@
         }
     }
 
-    /** What a load report says; one that is not whole or is ahead of time says nothing. */
-    private void reported(Store s, float[] report) {
+    /** What a report says; nothing if not whole or ahead of time, nor of roles beside a primary's answer. */
+    private void reported(Store s, float[] report, boolean leads) {
         int needed = Math.max(settings.positionField(), settings.primaryField());
         if (settings.positionField() < 0 || report.length <= needed) {
             return;
@@ -970,7 +969,7 @@
         if (primary) {
             reportAge += FOLLOW * (now - position - reportAge);
             leads(s, Math.max(position, 1));
-        } else {
+        } else if (!leads) {
             leadsNot(s, now - 2 * (long) reportAge);
             if (s.lagAt < now - reportAge) {
                 sawLag(s, Math.max(0, now - position - (long) reportAge));
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -67,7 +67,7 @@
 
     /** Something that happened to this front. */
     public sealed interface Event permits ListChanged, Arrived, Answered, Checked, Wakeup, ClientLeft,
-            Started, PeerMessage, Retuned, Written {}
+            Started, PeerMessage, Retuned, Written, GiveUp {}
 
     /** The list, or changes to it; empty where a call failed. */
     public record ListChanged(ListMode mode, long generation, List<Listing> lines) implements Event {}
@@ -89,6 +89,9 @@
     /** Nothing more is owed for this request. */
     public record ClientLeft(long id) implements Event {}
 
+    /** This front ends: the request's final answer is due now, whatever is still out for it. */
+    public record GiveUp(long id) implements Event {}
+
     /** A streamed answer has begun. */
     public record Started(long id, long store, int attempt) implements Event {}
 
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -332,8 +332,9 @@
             Statement statement = Statement.parse(query.butLast());
             Request.Call call = context.admission().call(statement, context.clients().timeLeft());
             context.clients().works(this);
-            if (context.clients().timeLeft() < Admission.waitNs(statement) && statement.write) {
-                // it could not be told how the write ended; another pooler can take it
+            long left = context.clients().timeLeft();
+            if (left <= 0 || left < Admission.waitNs(statement) && statement.write) {
+                // it could not be told in time how the request ended; another pooler can take it
                 endAfterThis();
                 out.error(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
                 return;
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -79,6 +79,11 @@
                 }
             }
             attempt.connected();
+            if (!attempt.stands()) {
+                counters.count(Counter.SENDS_OUTDATED);
+                clean = attempt.complete();
+                return Reply.of(Outcome.MOOT);
+            }
             connection.send(query);
             attempt.written();
             Answer answer = connection.receive(form);
--- a/pooler/src/test/java/holdmux/core/AttemptTest.java
+++ b/pooler/src/test/java/holdmux/core/AttemptTest.java
@@ -11,7 +11,7 @@
     private boolean closed;
 
     private Attempt attempt(boolean written, Outcome cut) {
-        Attempt attempt = new Attempt(1, 0, 0, 1_000);
+        Attempt attempt = new Attempt(1, 0, 0, 1_000, () -> true);
         assertTrue(attempt.carriedBy(() -> closed = true));
         if (written) {
             attempt.written();
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -2,6 +2,7 @@
 
 import static holdmux.decision.Front.MS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -181,4 +182,48 @@
         assertEquals(1, f.sentWhenAsked(0, Front.request(3, Front.OWN, 7)), "no replica is past the floor");
         assertTrue(f.splitter.writes().contains(new Written(1, 5, f.now - 10 * MS)));
     }
+
+    /** An answer that was on its way for long must not undo a newer one: reads that must be new went to a replica. */
+    @Test
+    void anOldAnswerDoesNotMakeAPrimaryOfAStoreThatHasDeniedItSince() {
+        Front f = new Front(Front.settings(Guards.OFF, true), 1).listed();
+        f.at(0, f.probe(1, 0, true));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(2, Front.UNSAFE, 6))));
+        f.at(20, f.answer(1, 0, 1, Outcome.MISS, Role.REPLICA, 0));
+        f.at(1, f.answer(2, 0, 1, Outcome.OK, Role.PRIMARY, f.now));
+        assertEquals(0, Front.sentTo(f.at(1, Front.request(3, Front.UNSAFE, 7))), "it leads no longer");
+        f.now += 50 * MS;
+        assertEquals(1, Front.sentTo(f.at(0, f.probe(1, 0, true))), "what it says of now counts");
+    }
+
+    /** A bound counts from the last byte of the send: what was new enough when it was decided may not be once connected. */
+    @Test
+    void whatWasDecidedIsAskedAgainBeforeItIsWritten() {
+        Front f = new Front(Front.settings(Guards.OFF, true), 1).listed();
+        f.at(0, f.probe(1, 0, true), f.probe(2, 100, false), f.probe(3, 100, false));
+        long store = Front.sentTo(f.at(0, Front.request(1, Front.VIEW, 0)));
+        assertTrue(store > 1, "a replica that is 100 ms behind, for a bound of 200");
+        assertTrue(f.splitter.stands(f.now + 90 * MS, 1, 0));
+        assertFalse(f.splitter.stands(f.now + 110 * MS, 1, 0), "older than the bound");
+        f.now += 110 * MS;
+        f.at(0, f.probe(store, 0, false));
+        assertTrue(f.splitter.stands(f.now, 1, 0), "it has told a newer position");
+        f.at(0, new ListChanged(ListMode.DELTA, 2, List.of(Front.line(store, false, 0, Availability.DRAINING))));
+        assertFalse(f.splitter.stands(f.now, 1, 0), "it drains");
+    }
+
+    /** Before the end every request gets its one answer: refused where that is true, else failed. */
+    @Test
+    void whatIsGivenUpBeforeTheEndIsAnsweredOnce() {
+        Front f = new Front(Front.settings(Guards.OFF, true), 1).listed();
+        f.at(0, f.probe(1, 0, true));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        assertTrue(Front.sentTo(f.at(1, Front.request(2, Front.ANY, 0))) > 0);
+        List<Action> write = f.at(1, new GiveUp(1));
+        assertTrue(Front.failed(write) && !Front.refused(write), "it may have run");
+        assertTrue(Front.refused(f.at(0, new GiveUp(2))));
+        List<Action> again = f.at(0, new GiveUp(1), new GiveUp(2));
+        assertFalse(Front.failed(again) || Front.refused(again), "one answer each");
+    }
 }
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -2,6 +2,7 @@
 
 import holdmux.config.Config;
 import holdmux.config.ConfigTest;
+import holdmux.config.HostList;
 import holdmux.core.Admission;
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
@@ -67,6 +68,7 @@
     private ServerSocket server;
     private PgFront front;
     private Config config;
+    private Balancer balancer;
     /** What the server answers to a request. */
     private volatile Consumer<Message> script = m -> AnswerTest.row(m, "v").parameterStatus("replication_role", "primary")
             .readyForQuery();
@@ -74,6 +76,8 @@
     /** Where not null, what it answers instead, a piece for each permit. */
     private volatile byte[][] pieces;
     private final Semaphore nextPiece = new Semaphore(0);
+    /** What happens before a connection to the server comes up. */
+    private volatile Runnable greeting = () -> { };
 
     @BeforeEach
     void start() throws IOException {
@@ -92,7 +96,7 @@
         Deadlines deadlines = new Deadlines(clock);
         Workers workers = new Workers(20);
         Fleet fleet = new Fleet(List.of(), List.of());
-        Balancer balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
+        balancer = new Balancer(config.deployment(), 1, clock, deadlines, counters,
                 fleet, workers);
         Shared shared = new Shared();
         ServerSlots slots = new ServerSlots(config.caps().servers(), shared);
@@ -134,6 +138,7 @@
         try (socket) {
             DataInputStream in = new DataInputStream(socket.getInputStream());
             in.readNBytes(in.readInt() - 4);
+            greeting.run();
             send(socket, m -> m.begin('R').put(0).end().readyForQuery());
             while (in.read() == 'Q') {
                 String query = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0", "");
@@ -472,6 +477,22 @@
         assertEquals(1, queries.size());
     }
 
+    /** What was decided is asked again once the connection is up: on the way there a server may begin to drain. */
+    @Test
+    void nothingIsWrittenThatNoLongerHolds() throws IOException {
+        String drains = "{\"seq\":42,\"whole\":false,\"hosts\":[{\"host\":\"s-1\",\"dial\":\"127.0.0.1:"
+                + server.getLocalPort() + "\",\"block\":2,\"health\":\"draining\"}]}";
+        greeting = () -> {
+            while (counters.get(Counter.ATTEMPTS) == 0) {
+                pause(1); // a probe's connection may come first
+            }
+            balancer.listChanged(HostList.decode(drains), false);
+        };
+        assertEquals("hello E53300Z", ask(WRITE.replace("d=3000", "d=1000")));
+        assertEquals(List.of(), queries);
+        assertEquals(1, counters.get(Counter.SENDS_OUTDATED));
+    }
+
     /** Guards against a drain that cuts off what was taken, and one that leaves idle clients in place. */
     @Test
     void aDrainAnswersWhatWasTaken() throws Exception {
