Give up silent calls to discovery sooner, end endless and silent answers, take 1,024 servers

Pauses between failed calls went up to 3 s, beyond the 2 s of drain grace after discovery's return; now 0.75 s at most. - ServerConnection.receive read nothing for ever once messages without end had filled the buffer (channel.read into no room gives 0): the thread spun until its attempt was cut. Byte caps on the list and the configuration were 1 MiB; 1,024 indented entries with the longest names take more; now 4 MiB. The oldest idle connection is found in a sorted map, not by a walk over all servers.

--- a/pooler/src/main/java/holdmux/config/Config.java
+++ b/pooler/src/main/java/holdmux/config/Config.java
@@ -18,8 +18,8 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress management,
         long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys,
         JSONObject ownSettings) {
-    /** A fleet of twenty servers and its settings take 10 KiB; this is room for thousands. */
-    private static final long MOST_BYTES = 1 << 20;
+    /** 1,024 servers with indentation and the longest names take 1.1 MiB, and a policy's settings some KiB. */
+    private static final long MOST_BYTES = 4 << 20;
 
     /** Reads the file that BALANCER_CONFIG names; the other variables, where set, have the last word. */
     public static Config load(Map<String, String> env, long zeroNs) throws IOException {
--- a/pooler/src/main/java/holdmux/core/Deadlines.java
+++ b/pooler/src/main/java/holdmux/core/Deadlines.java
@@ -38,6 +38,11 @@
         return at(clock.now() + afterNs, due);
     }
 
+    /** The time that deadlines are told in. */
+    public long now() {
+        return clock.now();
+    }
+
     public synchronized void cancel(Deadline deadline) {
         pending.remove(deadline);
     }
--- a/pooler/src/main/java/holdmux/core/IdleConnections.java
+++ b/pooler/src/main/java/holdmux/core/IdleConnections.java
@@ -4,10 +4,11 @@
 import holdmux.core.Deadlines.Deadline;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 
 /** Connections to servers kept while idle and used again, the latest first; each holds a slot until it is discarded. */
@@ -36,7 +37,9 @@
     private final Counters counters;
     private final ServerSlots slots;
     private final LongSupplier idleNs;
+    /** By server, none empty, and all by when they are closed, so that the oldest is found however many servers there are. */
     private final Map<Long, Deque<Idle<C>>> idle = new HashMap<>();
+    private final TreeMap<Deadline, C> byAge = new TreeMap<>();
 
     /** {@code idleNs}: after how long the servers close what is idle. */
     public IdleConnections(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, ServerSlots slots,
@@ -55,12 +58,12 @@
             Idle<C> found;
             synchronized (this) {
                 Deque<Idle<C>> of = idle.get(store);
-                found = of == null ? null : of.pollLast();
+                found = of == null ? null : of.peekLast();
+                if (found == null) {
+                    return null;
+                }
+                remove(found);
             }
-            if (found == null) {
-                return null;
-            }
-            deadlines.cancel(found.close());
             C connection = found.connection();
             if (connection.address().equals(fleet.address(store)) && connection.clean()) {
                 return connection;
@@ -75,8 +78,22 @@
         synchronized (this) {
             Deque<Idle<C>> of = idle.computeIfAbsent(connection.store(), s -> new ArrayDeque<>());
             long closeAt = clock.now() + idleNs.getAsLong() / IDLE_PART;
-            of.addLast(new Idle<>(connection, deadlines.at(closeAt, () -> closeIdle(connection))));
+            Idle<C> kept = new Idle<>(connection, deadlines.at(closeAt, () -> closeIdle(connection)));
+            of.addLast(kept);
+            byAge.put(kept.close(), connection);
+        }
+    }
+
+    /** No longer idle; only under this object's monitor. */
+    private void remove(Idle<C> gone) {
+        long store = gone.connection().store();
+        Deque<Idle<C>> of = idle.get(store);
+        of.remove(gone);
+        if (of.isEmpty()) {
+            idle.remove(store);
         }
+        byAge.remove(gone.close());
+        deadlines.cancel(gone.close());
     }
 
     /** Closes a connection that is in use and gives back its slot. */
@@ -86,15 +103,17 @@
     }
 
     private void closeIdle(C connection) {
-        boolean was;
         synchronized (this) {
             Deque<Idle<C>> of = idle.get(connection.store());
-            was = of != null && of.removeIf(i -> i.connection() == connection);
-        }
-        if (was) {
-            counters.count(Counter.SERVER_IDLE_CLOSES);
-            discard(connection);
+            Idle<C> found = of == null ? null
+                    : of.stream().filter(i -> i.connection() == connection).findFirst().orElse(null);
+            if (found == null) {
+                return; // taken meanwhile
+            }
+            remove(found);
         }
+        counters.count(Counter.SERVER_IDLE_CLOSES);
+        discard(connection);
     }
 
     /** A slot for a new connection: at the cap that of the one that has been idle longest; false if none is to be had. */
@@ -106,27 +125,24 @@
         return reserved;
     }
 
-    private synchronized boolean closeOldest() {
-        Idle<C> oldest = idle.values().stream().filter(of -> !of.isEmpty()).map(Deque::getFirst)
-                .min(Comparator.comparing(Idle::close)).orElse(null);
+    private boolean closeOldest() {
+        C oldest;
+        synchronized (this) {
+            oldest = byAge.isEmpty() ? null : byAge.firstEntry().getValue();
+        }
         if (oldest != null) {
-            deadlines.cancel(oldest.close());
-            closeIdle(oldest.connection());
+            closeIdle(oldest);
         }
         return oldest != null;
     }
 
     /** Closes all idle connections to a server. */
     public void closeAll(long store) {
-        Deque<Idle<C>> of;
+        List<Idle<C>> all;
         synchronized (this) {
-            of = idle.remove(store);
-        }
-        if (of != null) {
-            of.forEach(i -> {
-                deadlines.cancel(i.close());
-                discard(i.connection());
-            });
+            all = List.copyOf(idle.getOrDefault(store, new ArrayDeque<>()));
+            all.forEach(this::remove);
         }
+        all.forEach(i -> discard(i.connection()));
     }
 }
--- a/pooler/src/main/java/holdmux/discovery/HttpResponse.java
+++ b/pooler/src/main/java/holdmux/discovery/HttpResponse.java
@@ -7,8 +7,8 @@
 
 /** One HTTP/1.1 response, read whole with bounds on all its parts. */
 record HttpResponse(int status, String body, boolean keepAlive) {
-    /** A fleet of twenty servers takes 3 KiB; this is room for thousands. */
-    static final int MOST_BODY = 1 << 20;
+    /** 1,024 servers with indentation and the longest names take 1.1 MiB; a list is held twice while it is decoded. */
+    static final int MOST_BODY = 4 << 20;
 
     static HttpResponse read(InputStream in) throws IOException {
         HttpHead head = HttpHead.read(in);
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -25,12 +25,14 @@
     /** Silence beyond the hold that shows a dead call: the agent is on this machine and answers at once. */
     static final int SILENCE_MS = 1_000;
     private static final int CONNECT_MS = 1_000;
-    /** The first call of a watch may wait its turn at discovery, which is short of room when most poolers start. */
-    private static final int TURN_MS = 6_000;
+    /** The first call of a watch may wait its turn at discovery, which is short of room when most poolers start. Half the
+     * time after which what a silent watch misses counts as told: a watch that is silent anew is heard of in that time too. */
+    private static final int TURN_MS = 3_000;
     /** The hold of the first call: a new process is not ready before it has been told. */
     private static final int FIRST_HOLD_MS = 500;
-    /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. */
-    private static final int AGAIN_MS = 100, AGAIN_LONGEST_MS = 2_000;
+    /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. What discovery
+     * has at its return counts as told at once, and drains are kept 2 s later: the longest is well within that. */
+    private static final int AGAIN_MS = 100, AGAIN_LONGEST_MS = 500;
     /** Failures between log lines: one line in some seconds of silence. */
     private static final int LOG_EVERY = 10;
 
@@ -109,7 +111,7 @@
         InputStream in = new BufferedInputStream(socket.getInputStream());
         boolean open = true;
         while (open) {
-            socket.setSoTimeout(begins ? TURN_MS : HOLD_MS + SILENCE_MS);
+            socket.setSoTimeout(patienceMs(begins));
             socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
             HttpResponse response = HttpResponse.read(in);
             if (response.status() != 200) {
@@ -140,6 +142,11 @@
         }
     }
 
+    /** How long a call may be silent before it is given up; {@code begins}: one that begins a watch. */
+    static int patienceMs(boolean begins) {
+        return begins ? TURN_MS : HOLD_MS + SILENCE_MS;
+    }
+
     static long pauseMs(int failures, SplittableRandom random) {
         long longest = Math.min(AGAIN_LONGEST_MS, (long) AGAIN_MS << Math.min(failures, 16));
         return longest / 2 + random.nextLong(longest);
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -5,6 +5,7 @@
 import holdmux.core.IdleConnections;
 import holdmux.core.ServerStatus;
 import holdmux.statement.Buffers;
+import holdmux.statement.SqlState;
 import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
@@ -20,8 +21,10 @@
  * channel can be looked into without waiting; there is no selector.
  */
 final class ServerConnection implements Closeable, IdleConnections.Connection {
-    /** A server that gives nothing more of an answer for so long has vanished: far beyond a slow writer's pauses. */
-    private static final long SILENT_NS = 5_000 * Clock.MS;
+    /** A server that gives nothing more of a long answer for so long has vanished. */
+    private static final long SILENT_NS = 1_500 * Clock.MS;
+    /** Once the request's time is nearly over: the client must be able to tell within half a second of it. */
+    private static final long PAST_NS = 400 * Clock.MS, SILENT_LEAST_NS = 500 * Clock.MS;
 
     private final long store;
     private final InetSocketAddress address;
@@ -84,6 +87,9 @@
         try {
             ByteBuffer in = ByteBuffer.wrap(answer.buffer).put(head, 0, Math.max(0, got));
             while (got >= 0 && !answer.parse(in.position())) {
+                if (!in.hasRemaining()) {
+                    throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "an answer without end");
+                }
                 got = channel.read(in);
             }
             if (got < 0) {
@@ -103,19 +109,23 @@
         return answer;
     }
 
-    /** Passes an answer whose long row has begun on to its end, or its value alone, as it comes, through its one buffer. */
-    void relay(Answer answer, OutputStream out, boolean messages, Deadlines deadlines) throws IOException, ProtocolException {
+    /**
+     * Passes an answer whose long row has begun on to its end, or its value alone, as it comes, through its one buffer;
+     * {@code by}: the end of the request's time on the {@link Clock}.
+     */
+    void relay(Answer answer, OutputStream out, boolean messages, Deadlines deadlines, long by)
+            throws IOException, ProtocolException {
         long left = answer.toCome();
         ByteBuffer in = ByteBuffer.wrap(answer.buffer).position(answer.beginTo(out, messages));
         while (left > 0) {
-            read(in.clear().limit((int) Math.min(left, in.capacity())), deadlines);
+            read(in.clear().limit((int) Math.min(left, in.capacity())), deadlines, by);
             left -= in.position();
             out.write(answer.buffer, 0, in.position());
             in.position(0);
         }
         in.limit(in.capacity());
         while (!answer.parse(in.position())) {
-            read(in, deadlines);
+            read(in, deadlines, by);
         }
         if (!answer.served()) {
             throw new IOException("the server broke a long answer off");
@@ -125,9 +135,10 @@
         }
     }
 
-    /** Some more of an answer that has begun; only silence ends it, however long it takes. */
-    private void read(ByteBuffer in, Deadlines deadlines) throws IOException {
-        Deadlines.Deadline silent = deadlines.after(SILENT_NS, this::close);
+    /** Some more of an answer that has begun; only silence ends it, however long it takes, but sooner when it is late. */
+    private void read(ByteBuffer in, Deadlines deadlines, long by) throws IOException {
+        long left = by + PAST_NS - deadlines.now();
+        Deadlines.Deadline silent = deadlines.after(Math.max(SILENT_LEAST_NS, Math.min(SILENT_NS, left)), this::close);
         try {
             if (channel.read(in) <= 0) {
                 throw new EOFException("the server closed the connection within a long answer");
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -40,7 +40,10 @@
     private final ServerSlots slots;
     private final IdleConnections<ServerConnection> idle;
     /** Connections of answers that have begun and are still to be passed on. */
-    private final Map<Answer, ServerConnection> begun = new ConcurrentHashMap<>();
+    private final Map<Answer, Begun> begun = new ConcurrentHashMap<>();
+
+    /** {@code by}: the end of the attempt's time. */
+    private record Begun(ServerConnection connection, long by) {}
 
     ServerPool(Fleet fleet, Clock clock, Deadlines deadlines, Counters counters, Buffers buffers,
             Supplier<Deployment> deployment, ServerSlots slots) {
@@ -95,7 +98,7 @@
             }
             kept = answer.begun();
             if (kept) {
-                begun.put(answer, connection);
+                begun.put(answer, new Begun(connection, attempt.startedAt + attempt.limitNs));
             }
             return heard.apply(answer);
         } catch (Buffers.NoneFree e) {
@@ -115,15 +118,15 @@
      * client can tell if it does not come whole.
      */
     void relay(Answer answer, OutputStream out, boolean messages) throws IOException {
-        ServerConnection connection = begun.remove(answer);
+        Begun of = begun.remove(answer);
         boolean clean = false;
         try {
-            connection.relay(answer, out, messages, deadlines);
+            of.connection().relay(answer, out, messages, deadlines, of.by());
             clean = answer.whole();
         } catch (ProtocolException e) {
             throw new IOException("a long answer was spoilt", e);
         } finally {
-            release(connection, clean);
+            release(of.connection(), clean);
         }
     }
 
@@ -149,9 +152,9 @@
 
     /** Gives back what an answer holds that {@link #talk} handed on. */
     void giveBack(Answer answer) {
-        ServerConnection unread = begun.remove(answer);
+        Begun unread = begun.remove(answer);
         if (unread != null) {
-            idle.discard(unread);
+            idle.discard(unread.connection());
         }
         buffers.give(answer.buffer);
     }
--- a/pooler/src/test/java/holdmux/config/ConfigTest.java
+++ b/pooler/src/test/java/holdmux/config/ConfigTest.java
@@ -17,6 +17,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.json.JSONArray;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -94,6 +95,25 @@
         assertEquals(List.of("save-quote"), config.reload(env).deployment().classes(), "a class may go");
     }
 
+    /** A list of 1,024 servers, indented, with the longest names there are. */
+    public static JSONObject longList() {
+        String name = "s".repeat(249);
+        JSONArray hosts = new JSONArray();
+        for (int i = 0; i < 1_024; i++) {
+            hosts.put(new JSONObject(Map.of("host", name + i, "dial", "127.100.100.100:55555", "site", name, "class", name,
+                    "block", 3, "health", "up", "share", 1.5, "born_ms", 1767225600123L, "replication", "standby")));
+        }
+        return new JSONObject(Map.of("seq", 1, "whole", true, "hosts", hosts));
+    }
+
+    /** Guards against caps under 1,024 servers: indented, with the longest names, so many are taken whole. */
+    @Test
+    void aThousandServersWithTheLongestNamesFit(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, new JSONObject(sample()).put("known", longList()).toString(8));
+        assertEquals(1_024, Config.load(Map.of("BALANCER_CONFIG", file.toString()), 0).known().hosts().size());
+    }
+
     /** Caps follow the limits told, never one machine's figures, and leave descriptors and memory to spare. */
     @Test
     void capsFollowTheLimits() {
@@ -101,10 +121,14 @@
             Caps caps = Caps.of(limit[0], limit[1]);
             assertTrue(caps.clients() + caps.servers() <= limit[0] * 9 / 10);
             assertTrue(caps.workers() > caps.clients());
+            assertTrue(caps.workers() - caps.clients() <= Math.max(40, caps.servers()), "probes beyond connections");
             assertTrue(64 + 25 + caps.clients() / 8 <= limit[1], caps.toString());
         }
         assertEquals(128, Caps.of(256, 128).clients());
         assertEquals(32, Caps.of(256, 32).clients());
+        Caps largest = Caps.of(1_024, 192);
+        assertEquals(358, largest.servers());
+        assertEquals(358, largest.workers() - largest.clients(), "a probe for each connection there may be");
     }
 
     @Test
--- a/pooler/src/test/java/holdmux/discovery/HttpResponseTest.java
+++ b/pooler/src/test/java/holdmux/discovery/HttpResponseTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdmux.config.ConfigTest;
+import holdmux.config.HostList;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -38,6 +40,13 @@
         assertThrows(IOException.class, () -> read(CHUNKED.replace("3;x", "7fffffff;x")));
     }
 
+    @Test
+    void aListOfAThousandServersIsReadWhole() throws IOException {
+        String list = ConfigTest.longList().toString(8);
+        String body = read("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list).body();
+        assertEquals(1_024, HostList.decode(body).hosts().size());
+    }
+
     @Property(tries = 200, seed = "31")
     void noCutPasses(@ForAll boolean chunked, @ForAll @IntRange(max = 100) int at) {
         String text = chunked ? CHUNKED : PLAIN;
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -342,6 +342,16 @@
         assertEquals(1, queries.size());
     }
 
+    /** A spoilt answer that begins a long value and then gives nothing: its client must be able to tell near its time. */
+    @Test
+    void aLongAnswerThatFallsSilentEndsTheClientsConnectionInTime() throws Exception {
+        pieces = new byte[][] {Arrays.copyOf(longRow(MIB), 100_000), new byte[0]};
+        nextPiece.release();
+        long start = System.nanoTime();
+        assertEquals("hello TD|", ask(WRITE.replace("d=3000", "d=700")));
+        assertTrue(System.nanoTime() - start < 4_500 * Clock.MS, "5 s of silence were waited for");
+    }
+
     /** Guards against clients that connect and say nothing, or keep a connection they no longer use, filling the cap. */
     @Test
     void silentAndRestingClientsMakeRoom() throws Exception {
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import holdmux.core.Clock;
+import holdmux.core.ServerStatus;
 import holdmux.statement.Buffers;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -42,6 +43,29 @@
         }
     }
 
+    /**
+     * An answer of messages without end fills the buffer with no room for a next one's head: reading on gave nothing for
+     * ever, and the thread spun until its attempt was cut.
+     */
+    @Test
+    void anAnswerWithoutEndIsSpoiltOnceTheBufferIsFull() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        byte[] notices = new byte[Buffers.SIZE];
+        for (int i = 0; i < notices.length; i++) {
+            notices[i] = (byte) (i % 7 == 0 ? 'N' : i % 7 == 4 ? 6 : 0); // a head of five bytes and two of content
+        }
+        try (ServerSocket server = new ServerSocket(0, 1, loopback);
+                ServerConnection connection = new ServerConnection(1,
+                        new InetSocketAddress(loopback, server.getLocalPort()), new Buffers(4 * Buffers.SIZE, Buffers.SIZE, () -> false))) {
+            connection.connect(5_000 * Clock.MS);
+            try (Socket socket = server.accept()) {
+                socket.getOutputStream().write(notices);
+                assertTimeoutPreemptively(Duration.ofSeconds(20), () -> assertThrows(ProtocolException.class,
+                        () -> connection.receive(new ServerStatus.Form(List.of(), 0))));
+            }
+        }
+    }
+
     /** Connects until one does not come up within a short bound: from then on the server drops handshakes. */
     private static void fillQueue(InetSocketAddress address, List<Socket> queued) throws IOException {
         for (int i = 0; i < 64; i++) {
