Serve at once an answer that stops short behind its row

Cause: an answer whose row and CommandComplete had come, but no ReadyForQuery, was waited for until its attempt's time was over (ServerConnection.receive reads until Answer.parse says ready), 5 s for a save-quote. Change: what stands behind a row or an error comes in one write; 50 ms of silence there end the connection, and what was served or refused stands, as it did where the connection broke there.

--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -26,6 +26,9 @@
     /** Once the request's time is nearly over: the client must be able to tell within half a second of it. */
     private static final long PAST_NS = 400 * Clock.MS, SILENT_LEAST_NS = 500 * Clock.MS;
 
+    /** What stands behind a served row or an error comes in the same write; where it stops short there, it never comes. */
+    private static final long REST_NS = 50 * Clock.MS;
+
     private final long store;
     private final InetSocketAddress address;
     private final SocketChannel channel;
@@ -76,20 +79,24 @@
 
     /**
      * Reads a whole answer, or one up to where a long row has begun; no buffer is held before its first bytes come. The
-     * answer keeps its buffer, which the caller gives back. If the connection breaks behind a served row or an error,
-     * that stands all the same.
+     * answer keeps its buffer, which the caller gives back. If the connection breaks or falls silent behind a served row or
+     * an error, that stands all the same.
      */
-    Answer receive(ServerStatus.Form form) throws IOException, ProtocolException {
+    Answer receive(ServerStatus.Form form, Deadlines deadlines) throws IOException, ProtocolException {
         byte[] head = new byte[Message.HEAD];
         int got = channel.read(ByteBuffer.wrap(head));
         Answer answer = new Answer(buffers.take(), form);
         boolean kept = false;
+        Deadlines.Deadline rest = null;
         try {
             ByteBuffer in = ByteBuffer.wrap(answer.buffer).put(head, 0, Math.max(0, got));
             while (got >= 0 && !answer.parse(in.position())) {
                 if (!in.hasRemaining()) {
                     throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "an answer without end");
                 }
+                if (rest == null && (answer.served() || answer.sqlState() != null)) {
+                    rest = deadlines.after(REST_NS, this::close);
+                }
                 got = channel.read(in);
             }
             if (got < 0) {
@@ -102,6 +109,9 @@
                 throw e;
             }
         } finally {
+            if (rest != null) {
+                deadlines.cancel(rest);
+            }
             if (!kept) {
                 buffers.give(answer.buffer);
             }
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -89,7 +89,7 @@
             }
             connection.send(query);
             attempt.written();
-            Answer answer = connection.receive(form);
+            Answer answer = connection.receive(form, deadlines);
             boolean uncut = attempt.complete();
             clean = uncut && answer.whole();
             if (answer.begun() && !uncut) {
@@ -142,7 +142,7 @@
             connection.connect(waitNs);
             connection.send(List.of(new Message(new byte[OWN_MESSAGES]).beginUntyped().put(Message.PROTOCOL_3).put("user")
                     .put("holdmux").put("database").put("crm").put('\0').end().bytes()));
-            Answer greeting = connection.receive(form);
+            Answer greeting = connection.receive(form, deadlines);
             buffers.give(greeting.buffer);
             return greeting.sqlState();
         } finally {
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -342,6 +342,17 @@
         assertEquals(1, queries.size());
     }
 
+    /** An answer that stops short behind its row has served: its client waited for the rest until its time was over. */
+    @Test
+    void anAnswerThatStopsShortBehindItsRowIsServedAtOnce() throws Exception {
+        script = m -> AnswerTest.row(m, "v");
+        long start = System.nanoTime();
+        assertEquals("hello TDCZ", ask(WRITE));
+        assertTrue(System.nanoTime() - start < 2_500 * Clock.MS, "the attempt's 3 s were waited for");
+        script = m -> AnswerTest.row(m, "v").readyForQuery();
+        assertEquals("hello TDCZ", ask(WRITE), "on another connection");
+    }
+
     /** A spoilt answer that begins a long value and then gives nothing: its client must be able to tell near its time. */
     @Test
     void aLongAnswerThatFallsSilentEndsTheClientsConnectionInTime() throws Exception {
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import holdmux.core.Clock;
+import holdmux.core.Deadlines;
 import holdmux.core.ServerStatus;
 import holdmux.statement.Buffers;
 import java.io.IOException;
@@ -61,7 +62,7 @@
             try (Socket socket = server.accept()) {
                 socket.getOutputStream().write(notices);
                 assertTimeoutPreemptively(Duration.ofSeconds(20), () -> assertThrows(ProtocolException.class,
-                        () -> connection.receive(new ServerStatus.Form(List.of(), 0))));
+                        () -> connection.receive(new ServerStatus.Form(List.of(), 0), new Deadlines(new Clock()))));
             }
         }
     }
