--- a/pooler/src/main/java/holdmux/core/IdleConnections.java
+++ b/pooler/src/main/java/holdmux/core/IdleConnections.java
@@ -118,7 +118,10 @@
 
     /** A slot for a new connection: at the cap that of the one that has been idle longest; false if none is to be had. */
     public boolean reserve() {
-        boolean reserved = slots.reserve() || closeOldest() && slots.reserve();
+        boolean reserved = slots.reserve();
+        while (!reserved && closeOldest()) { // another thread may have been quicker to the slot, or to the connection
+            reserved = slots.reserve();
+        }
         if (!reserved) {
             counters.count(Counter.OVER_CAPACITY);
         }
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -156,11 +156,13 @@
         if (hasMoved()) {
             return; // the old agent's call was ended by us
         }
-        counters.count(Counter.WATCH_FAILURES);
+        boolean unfit = e instanceof ConfigException;
+        counters.count(unfit ? Counter.LISTS_REFUSED : Counter.WATCH_FAILURES);
         begins = true;
-        whole |= e instanceof ConfigException;
+        whole |= unfit;
         if (failures++ % LOG_EVERY == 0) {
-            Log.warn("discovery does not answer: " + e.getMessage());
+            Log.warn((unfit ? "discovery's list cannot be used, the last one stays: " : "discovery does not answer: ")
+                    + e.getMessage());
         }
         try {
             Thread.sleep(pauseMs(failures, random));
--- a/standins/src/main/java/holdmux/standins/StandIns.java
+++ b/standins/src/main/java/holdmux/standins/StandIns.java
@@ -53,6 +53,11 @@
         agent.put(name, dials.get(name), kinds.get(name), GROUP, health, group.leads(group.member(name)));
     }
 
+    /** Lists a further server of a group, played by one that was started: for fleets of a size that needs no more data. */
+    public void also(String name, String as, int group, String health) {
+        agent.put(name, dials.get(as), kinds.get(as), group, health, this.group.leads(this.group.member(as)));
+    }
+
     /** Lists a server at another address, as when a machine is replaced. */
     public void redirect(String name, InetSocketAddress address) {
         dials.put(name, address);
