Ask again over Flight SQL too, between a read's plan and its fetch

Need: the same reasoning as on PostgreSQL's side: the plan brings the connection up, which may take as long as the connect time-out, and the fetch behind it reads data that may be too old by then. What no longer stands is not fetched; it counts as reset, since a plan is no proof that nothing ran. OutdatedTest fails without it.

--- a/flight/src/main/java/holdmux/flight/FlightUpstream.java
+++ b/flight/src/main/java/holdmux/flight/FlightUpstream.java
@@ -256,6 +256,12 @@
         if (plan.getEndpointCount() != 1 || plan.getEndpoint(0).getLocationCount() > 0) {
             throw new UnfitException(); // a table in several places is not this server's own answer
         }
+        if (!write && !use.attempt.stands()) { // the plan brought the connection up, which may have taken long
+            services.counters().count(Counter.SENDS_OUTDATED);
+            use.attempt.complete();
+            use.clean = true;
+            return ended(use.told.reply(Outcome.RESET)); // a plan is no proof that nothing ran
+        }
         Ticket ticket = plan.getEndpoint(0).getTicket();
         ServerCall<Ticket, byte[]> call = use.call(Raw.DO_GET, ticket, message -> message.length);
         List<byte[]> frames = new ArrayList<>();
--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -22,8 +22,8 @@
     private boolean connected;
     private boolean over;
 
-    /** {@code stands}: whether what the send was decided on still holds; see {@link #stands}. */
-    Attempt(long store, int number, long startedAt, long limitNs, BooleanSupplier stands) {
+    /** {@code number}: of this attempt within its request; {@code stands}: whether what the send was decided on still holds; see {@link #stands}. */
+    public Attempt(long store, int number, long startedAt, long limitNs, BooleanSupplier stands) {
         this.store = store;
         this.number = number;
         this.startedAt = startedAt;
