--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -9,7 +9,8 @@
 /**
  * Decides for one front which store of a group takes each request. It remembers each session's last-write
  * position, serves the session's reads from a replica known to have reached it, else from the primary, and
- * drops the token only once every replica has caught up. Not thread-safe; it has no clock and does no I/O. */
+ * drops the token only once every replica has caught up. Not thread-safe; it has no clock and does no I/O.
+ */
 public final class ReadWriteSplitter {
     private static final long MS = 1_000_000L;
 
@@ -74,11 +75,6 @@
     /** A list call that failed is made again after this, and up to as much again by chance. */
     private static final long ASK_AGAIN_NS = 1_000 * MS;
 
-    /** Attempts for each answered in time, so many more at most, and over how long: some tens. The rest
-     * is refused at once: a jam of queues that nobody waits for any more else feeds on more. */
-    private static final Set<Outcome> JAM = EnumSet.of(Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED);
-    private static final double MOST_TRIED = 2, FEW = 5, TRIED_NS = 5_000.0 * MS;
-
     /** Span over which the work in hand is averaged: about the span of the cold rule. */
     private static final double CARRY_NS = 2_000.0 * MS;
     /** How long the busiest spell is remembered: some of the longest warm-ups. */
@@ -149,6 +145,7 @@
             return availability == Availability.READY;
         }
 
+        /** When it was last asked for a report or told one. */
         long seenAt() {
             return Math.max(probedAt, queueAt);
         }
@@ -200,6 +197,11 @@
     private static final class Pace {
         double base;
         int samples;
+
+        Pace(double base, int samples) {
+            this.base = base;
+            this.samples = samples;
+        }
     }
 
     private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
@@ -214,11 +216,9 @@
     private double probeTokens = PROBE_BURST;
     /** Work in hand at all stores together for this front, averaged; the peak of late for each store. */
     private double carry, peak;
-    /** Attempts of late, and those of them that were answered in time; see MOST_TRIED. */
-    private double tried, timely;
     /** Stores that the list calls ready. */
     private int ready;
-    private long carryAt, triedAt;
+    private long carryAt;
     /** How old a report is when it arrives, learned from primaries, which stand at the present. */
     private double reportAge;
     private long now;
@@ -247,11 +247,8 @@
         List<Pace> next = new ArrayList<>();
         for (RequestClass type : settings.classes()) {
             int before = was.get(next.size());
-            Pace pace = new Pace();
-            pace.base = before < 0 ? type.onTimeNs() / 5.0 : paces.get(before).base;
-            pace.base = Math.min(pace.base, BASE_MOST * type.onTimeNs());
-            pace.samples = before < 0 ? 0 : paces.get(before).samples;
-            next.add(pace);
+            Pace old = before < 0 ? new Pace(type.onTimeNs() / 5.0, 0) : paces.get(before);
+            next.add(new Pace(Math.min(old.base, BASE_MOST * type.onTimeNs()), old.samples));
         }
         paces = next;
     }
@@ -312,11 +309,6 @@
         Group group = groups.computeIfAbsent(e.group(), g -> new Group());
         Open o = new Open(e, settings, paces.get(e.classIndex()), group, now);
         opens.put(o.id, o);
-        double surplus = tried - MOST_TRIED * (timely + FEW);
-        if (surplus > 0 && random.nextDouble() * (tried + 1) < surplus) {
-            finish(o); // adaptive throttling
-            return;
-        }
         probe(group);
         touched.add(group);
         hold(o); // released at the end of the batch, dearest first, so that new work does not jump the queue
@@ -362,8 +354,10 @@
         return picked != null || asks(o, needed) ? picked : lastResort(o);
     }
 
-    /** Whether a replica is asked for its position, which seems far enough but is not known to be: each front
-     * hears seldom of each of many replicas, and primaries have no room for all reads. Costs a probe. */
+    /**
+     * Whether a replica is asked for its position, which seems far enough but is not known to be: each front
+     * hears seldom of each of many replicas, and primaries have no room for all reads. Costs a probe.
+     */
     private boolean asks(Open o, long needed) {
         if (checks || o.asked >= MOST_ASKED) {
             return false;
@@ -437,11 +431,11 @@
         boolean mayTry = checks && o.misses < 2 && (leader == null || !leader.probing);
         Store best = null;
         for (Store s : mayTry ? o.group.members : List.<Store>of()) {
-            boolean less = s != leader && (best == null || s.lag < best.lag);
-            best = less && s.nextTrial <= now && usable(s, o) ? s : best;
+            boolean ready = s != leader && s.nextTrial <= now && usable(s, o);
+            best = ready && (best == null || s.lag < best.lag) ? s : best;
         }
         if (best != null) {
-            best.nextTrial = now + Math.max(TRIAL_NS, best.lag / 4);
+            restTrials(best);
         }
         return best;
     }
@@ -499,8 +493,7 @@
         s.outWork += attempt.work;
         s.unansweredSince = s.unansweredSince == 0 ? now : s.unansweredSince;
         s.nextTrial = s.ill ? now + s.rest : s.nextTrial;
-        o.held = false;
-        o.group.held.remove(o);
+        unhold(o);
         wake(Math.min(o.giveUpAt, now + silentLeast));
         sink.accept(new Transmit(o.id, s.id, Math.max(1, limit(o, s))));
         return true;
@@ -534,15 +527,15 @@
         boolean mayHaveRun = o.inFlight > 0 || o.mayHaveRunAt != Long.MAX_VALUE;
         boolean refusable = o.safe() || !mayHaveRun
                 || o.type.effect() == Effect.DEDUPLICATED && o.type.scope() == Scope.ALL;
-        sink.accept(refusable ? new Decline(o.id, o.limits.retryAfter() ? o.limits.maxRetryAfterNs() : 0)
+        sink.accept(refusable
+                ? new Decline(o.id, o.limits.retryAfter() ? o.limits.maxRetryAfterNs() : 0)
                 : new RespondError(o.id));
         close(o);
     }
 
     private void close(Open o) {
         o.done = true;
-        o.held = false;
-        o.group.held.remove(o);
+        unhold(o);
         for (int i = 0; i < o.attempts.size(); i++) {
             retract(o, i);
         }
@@ -573,6 +566,11 @@
         return Math.min(limit, now + (now - o.arrived) / LOOK_AGAIN);
     }
 
+    private void unhold(Open o) {
+        o.held = false;
+        o.group.held.remove(o);
+    }
+
     /** Work for each unit of worth. */
     private double cost(Open o) {
         double part = now < o.arrived + o.type.onTimeNs() ? 1 : o.type.lateWorth();
@@ -654,11 +652,6 @@
         }
         o.reached |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touched.add(o.group);
-        double kept = Math.exp(-(now - triedAt) / TRIED_NS);
-        boolean ended = e.outcome() == Outcome.CANCELLED && now >= o.giveUpAt || e.outcome() == Outcome.OK;
-        tried = tried * kept + (ended || JAM.contains(e.outcome()) ? 1 : 0);
-        timely = timely * kept + (e.outcome() == Outcome.OK && now <= o.arrived + o.type.onTimeNs() ? 1 : 0);
-        triedAt = now;
         reported(a.store, e.report(), e.role() == Role.PRIMARY);
         evidence(o, a, e);
         health(o, a, e);
@@ -706,7 +699,7 @@
             s.lag = Math.min(s.lag, Math.max(0, a.sentAt - a.needed));
         } else if (e.outcome() == Outcome.MISS && a.needed > 0) {
             sawLag(s, Math.max(s.lag, now - a.needed + TRIAL_NS));
-            s.nextTrial = now + Math.max(TRIAL_NS, s.lag / 4);
+            restTrials(s);
         }
     }
 
@@ -715,6 +708,10 @@
         s.lagAt = now;
     }
 
+    private void restTrials(Store s) {
+        s.nextTrial = now + Math.max(TRIAL_NS, s.lag / 4);
+    }
+
     private void leads(Store s, long at) {
         Group g = s.group;
         if (at >= g.leaderAt && at > s.deniedAt) {
@@ -808,7 +805,8 @@
         s.load += FOLLOW * (outAtSend - s.load);
         // chosen by load at the send, never by the outcome: lucky answers alone would drag the figure down
         if (outAtSend <= FREE_SLOTS && s.queue < 1) {
-            p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples)) * (latency - p.base);
+            p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples))
+                    * (latency - p.base);
             p.base = Math.min(p.base, BASE_MOST * o.type.onTimeNs());
         }
         carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + p.base / CARRY_NS;
@@ -840,8 +838,9 @@
         long left = Math.min(now < aim ? aim - now : o.type.onTimeNs(), o.giveUpAt - now);
         double queue = queue(s);
         boolean free = s.out == 0 || queue < 1 && s.out < 2 * FREE_SLOTS;
-        double wait = queue * o.pace.base / CORES;
-        return free ? wait + o.pace.base <= left : wait + expected(s, o) <= FIT_IN * left;
+        double b = o.pace.base;
+        double wait = queue * b / CORES;
+        return free ? wait + b <= left : wait + expected(s, o) <= FIT_IN * left;
     }
 
     /** Most of a group looks ill: the load or this front is to blame, and ejecting would only add to it. */
