--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -27,6 +27,16 @@
     private static final String HOST = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:5501\",\"site\":\"a\",\"class\":\"m\","
             + "\"block\":0,\"health\":\"up\",\"share\":1,\"born_ms\":0}";
 
+    private final Counters counters = new Counters();
+    private final LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
+
+    /** Starts a watch at this agent that knows version 41. */
+    private void follow(ServerSocket agent) {
+        HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
+        Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters,
+                l -> taken.add(l.seq()))).start();
+    }
+
     private static String call(ServerSocket agent, String answer) throws Exception {
         try (Socket socket = agent.accept()) {
             BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
@@ -44,12 +54,8 @@
     /** A start asks for what it missed only, and a discovery short of room is not asked for all of it for that. */
     @Test
     void aWatchGoesOnFromWhatIsKnown() throws Exception {
-        Counters counters = new Counters();
-        LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-            HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
-            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters,
-                    l -> taken.add(l.seq()))).start();
+            follow(agent);
             String busy = "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
             assertEquals("?from=41&hold_ms=500", call(agent, busy));
             assertEquals("?from=41&hold_ms=500", call(agent, list(43)));
@@ -68,10 +74,7 @@
     void aSilentCallIsMadeAnewBeforeWhatItMissesCounts() throws Exception {
         assertTrue(Watch.patienceMs(true) <= 3_000 && Watch.patienceMs(false) <= 3_000);
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-            HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
-            LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
-            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, new Counters(),
-                    l -> taken.add(l.seq()))).start();
+            follow(agent);
             try (Socket silent = agent.accept()) {
                 assertEquals("?from=41&hold_ms=500", call(agent, list(43)));
                 assertEquals(43, taken.take());
@@ -83,12 +86,8 @@
     /** A list that is cut, wrong or over the cap is refused whole and counted as that; the last one stays in force. */
     @Test
     void aListThatCannotBeUsedChangesNothing() throws Exception {
-        Counters counters = new Counters();
-        LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
-            HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
-            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters,
-                    l -> taken.add(l.seq()))).start();
+            follow(agent);
             call(agent, "200 OK\r\nContent-Length: 99999999\r\n\r\n");
             call(agent, list(42).replace("\"block\":0,", "\"block\":\"x\""));
             call(agent, list(42).replace("}]}", "}]"));
