Give up the attempts of a request with its final answer, also where cancel is forbidden

Cause: a request that is given up (at its aim, or before the process ends) posts its final answer behind the attempt that is out (Balancer.end), and only the module's Retract cuts that one; where the settings forbid to cancel there is none, so the answer waited for the attempt's own limit, and at the end of a process for SIGKILL. Change: Balancer.end closes what is out; where the module retracts, that was done already. Test: BalancerTest, which fails without it.

--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -22,7 +22,7 @@
     private boolean connected;
     private boolean over;
 
-    /** {@code number}: of this attempt within its request; {@code stands}: whether what the send was decided on still holds; see {@link #stands}. */
+    /** The {@code number}-th of its request; {@code stands}: whether what it was decided on still holds, see {@link #stands}. */
     public Attempt(long store, int number, long startedAt, long limitNs, BooleanSupplier stands) {
         this.store = store;
         this.number = number;
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -383,6 +383,8 @@
         Request request = open.get(id);
         if (request != null && !request.over) {
             request.over = true;
+            // also where the module may not retract: on sockets an attempt is given up by closing, and the client waits
+            request.attempts.forEach(attempt -> attempt.cut(Outcome.CANCELLED));
             request.post(new Request.End(answer));
         }
     }
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -188,6 +188,30 @@
         assertEquals(List.of("refused " + 500 * Clock.MS), script.told);
     }
 
+    /** What is given up is answered at once also where the settings forbid to cancel: its attempt was waited for. */
+    @Test
+    void whatIsGivenUpDoesNotWaitForItsAttempt() {
+        Settings s = settings();
+        Limits noCancel = new Limits(6, true, false, true, true, 500 * Clock.MS, false);
+        balancer.retune(deployment(new Settings(s.me(), s.balancers(), s.zone(), s.stepNs(), s.classes(), s.quotas(),
+                s.overShareWorth(), s.guards(), s.waitNs(), s.zeroNs(), s.remembered(), s.showsRole(), s.mustSubscribe(),
+                s.rules(), noCancel, s.positionField(), s.primaryField(), s.queueField(), s.inflightField(), s.utilField()),
+                "history", "save-quote"));
+        Script script = new Script() {
+            @Override
+            public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
+                java.util.concurrent.CountDownLatch closed = new java.util.concurrent.CountDownLatch(1);
+                attempt.carriedBy(closed::countDown);
+                attempt.written();
+                balancer.giveUpAll();
+                assertEquals(0, closed.getCount(), "its connection stays");
+                return new Attempted(Reply.of(attempt.broken()), null);
+            }
+        };
+        life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
+        assertEquals(List.of("failed"), script.told);
+    }
+
     @Test
     void aWholeListRemovesWhatItOmitsAndAddressesMayChange() {
         long first = fleet.take(list(false, host("s-1", true, Availability.READY)), false).lines().get(0).store();
