--- a/app/src/main/java/holdmux/app/drill/PoolerProcess.java
+++ b/app/src/main/java/holdmux/app/drill/PoolerProcess.java
@@ -20,6 +20,7 @@
     private final List<String> flags;
     /** What the program is started by, as a shell that sets limits; mostly nothing. */
     private List<String> by = List.of();
+    private List<String> machine = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx160m", "-XX:-UsePerfData");
     private Process process;
 
     /** {@code flags}: those of {@code serve}; the folder and the configuration are added here. */
@@ -33,16 +34,25 @@
         Files.writeString(folder.resolve("config.json"), own.toString());
     }
 
-    /** From its next start on no file that it writes can grow beyond this: a disk that fills up. */
-    void limitFiles(int kib) {
-        by = List.of("sh", "-c", "ulimit -f " + kib + "; exec \"$@\"", "sh");
+    /** From its next start on one of the shell's limits holds: {@code -f 200} for files of 200 KiB, a disk that fills up. */
+    void limit(String limit) {
+        by = List.of("sh", "-c", "ulimit " + limit + "; exec \"$@\"", "sh");
+    }
+
+    /** From its next start on the virtual machine has these flags. */
+    void machine(List<String> flags) {
+        machine = List.copyOf(flags);
+    }
+
+    long pid() {
+        return process.pid();
     }
 
     void start() throws IOException {
         List<String> command = new ArrayList<>(by);
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx160m", "-XX:-UsePerfData", "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "serve"));
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(machine);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve"));
         command.addAll(flags);
         if (!flags.isEmpty()) {
             command.addAll(List.of("--store-dir", folder.resolve("store").toString()));
--- /dev/null
+++ b/app/src/test/java/holdmux/app/drill/PlatformTest.java
@@ -0,0 +1,160 @@
+package holdmux.app.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.app.demo.PgClient;
+import holdmux.app.demo.QuoteClient.Ending;
+import holdmux.standins.Fault;
+import holdmux.standins.StandIns;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program by the flags of the platform's deploy file and within the platform's limits. */
+@Timeout(120)
+class PlatformTest {
+    private static final int SERVERS = 1_024, OF_A_GROUP = 6, MEMORY_MB = 192, SOCKETS = 1_024, CLIENTS = 8, REQUESTS = 300;
+
+    @TempDir
+    Path folder;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private StandIns fleet;
+    private PoolerProcess pooler;
+
+    @BeforeEach
+    void begin() throws Exception {
+        fleet = new StandIns();
+        fleet.start("s-1", StandIns.PG_KIND);
+        fleet.start("s-2", StandIns.PG_KIND);
+    }
+
+    private void start() throws Exception {
+        int port = StandIns.freePort();
+        pooler = new PoolerProcess("p", port, folder, fleet.config(port, MEMORY_MB, SOCKETS), List.of());
+        String deploy = Files.readString(Path.of("..", "deploy", "balancer.toml"));
+        int flags = deploy.indexOf("run = \"exec java ") + 17;
+        pooler.machine(List.of(deploy.substring(flags, deploy.indexOf(" -cp ", flags)).split(" ")));
+        pooler.limit("-n " + SOCKETS);
+        pooler.start();
+        pooler.awaitListening();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        threads.shutdownNow();
+        pooler.kill();
+        fleet.close();
+    }
+
+    /** Guards against caps, threads, buffers or descriptors sized for a small fleet, and against losing what was taken. */
+    @Test
+    void aThousandServersAreServedWithinTheLimitsWhileTheirListChanges() throws Exception {
+        list(2, 1, "up");
+        start();
+        List<Future<Map<Ending, Integer>>> told = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            int client = i;
+            told.add(threads.submit(() -> load(client)));
+        }
+        list(OF_A_GROUP, 7, "draining");
+        list(OF_A_GROUP, 7, "removed");
+        list(OF_A_GROUP, 7, "up");
+        Map<Ending, Integer> all = new EnumMap<>(Ending.class);
+        for (Future<Map<Ending, Integer>> of : told) {
+            of.get().forEach((ending, count) -> all.merge(ending, count, Integer::sum));
+        }
+        assertEquals(0, all.getOrDefault(Ending.FAILED, 0), "failed or lost: " + all);
+        assertTrue(all.getOrDefault(Ending.SERVED, 0) > CLIENTS * REQUESTS / 2, "served " + all);
+        Path system = Path.of("/proc", Long.toString(pooler.pid()));
+        try (Stream<Path> open = Files.list(system.resolve("fd"))) {
+            assertTrue(open.count() < SOCKETS);
+        }
+        String peak = Files.readAllLines(system.resolve("status")).stream().filter(line -> line.startsWith("VmHWM"))
+                .findFirst().orElseThrow();
+        assertTrue(Long.parseLong(peak.replaceAll("\\D", "")) < MEMORY_MB * 1_024, peak);
+        Map<String, String> counters = new HashMap<>();
+        try (PgClient client = pooler.talk()) {
+            client.query("SHOW STATS", counters);
+        }
+        assertEquals("0", counters.get("over_capacity"));
+        assertEquals("0", counters.get("lists_refused"));
+        assertTrue(Files.readAllLines(folder.resolve("log")).stream().noneMatch(line -> line.startsWith("error")));
+    }
+
+    /** Lists every so many servers from one on: the first of each group is played by the primary, the others by a replica. */
+    private void list(int from, int every, String health) {
+        for (int i = from; i < SERVERS; i += every) {
+            fleet.also("s-of-a-large-fleet-" + i, i % OF_A_GROUP == 0 ? "s-1" : "s-2", 1 + i / OF_A_GROUP, health);
+        }
+    }
+
+    private Map<Ending, Integer> load(int client) throws Exception {
+        SplittableRandom random = new SplittableRandom(client);
+        Map<Ending, Integer> told = new EnumMap<>(Ending.class);
+        try (PgClient to = new PgClient(pooler.port, 10_000)) {
+            for (int i = 0; i < REQUESTS; i++) {
+                told.merge(to.ask(sql(random.nextInt(10) == 0, client + "x" + i, 1 + random.nextInt(SERVERS / OF_A_GROUP))), 1,
+                        Integer::sum);
+            }
+        }
+        return told;
+    }
+
+    private static String sql(boolean write, String id, int group) {
+        return (write ? "INSERT INTO facts (code, data) VALUES ('k', '\\x9f') RETURNING data" : "SELECT data FROM facts WHERE code = 'k'")
+                + " /* id=" + id + (write ? ",c=save-quote,d=5000" : ",c=history,d=1500") + ",cluster=" + group + " */";
+    }
+
+    /**
+     * What was taken before SIGTERM and what clients send on open connections after it has its own answer, though the
+     * servers hang to the end: the process ended 3.5 s after SIGTERM, whatever was open, and its clients saw a close.
+     */
+    @Test
+    void whatHangsAtTheEndIsAnswered() throws Exception {
+        start();
+        List<PgClient> clients = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            clients.add(new PgClient(pooler.port, 10_000));
+        }
+        List<Future<String>> told = new ArrayList<>(List.of(hangs(clients.get(0), "w"), hangs(clients.get(1), "r")));
+        while (!fleet.group().runs().containsKey("w")) {
+            Thread.sleep(10);
+        }
+        pooler.signal("TERM");
+        for (int i = 2; i < 5; i++) {
+            Thread.sleep(900); // the last of them 2.7 s after SIGTERM, with 1.5 s to wait
+            told.add(hangs(clients.get(i), "r" + i));
+        }
+        assertEquals("08007", told.get(0).get(), "the write may have run");
+        for (Future<String> read : told.subList(1, told.size())) {
+            assertTrue(List.of("53300", "57P03").contains(read.get()), read.get());
+        }
+        while (pooler.isAlive()) {
+            Thread.sleep(10); // and then it ends
+        }
+    }
+
+    /** Asks for what every server hangs on, a write where the id says so; the SQLSTATE of its answer. */
+    private Future<String> hangs(PgClient client, String id) {
+        fleet.group().plan(id, Collections.nCopies(6, Fault.of(Fault.Kind.SILENT, Fault.Phase.AFTER_RUN)).toArray(Fault[]::new));
+        Callable<String> asks = () -> client.query(sql(id.equals("w"), id, 1), new HashMap<>());
+        return threads.submit(asks);
+    }
+}
--- a/app/src/test/java/holdmux/app/drill/PolicyCommandsTest.java
+++ b/app/src/test/java/holdmux/app/drill/PolicyCommandsTest.java
@@ -154,7 +154,7 @@
     /** A member whose disk is full takes no part; its pooler serves on under what the others put in force. */
     @Test
     void aMemberWhoseDiskIsFullCostsNobodyAnything() throws Exception {
-        fleet.poolers.get("p3").limitFiles(200);
+        fleet.poolers.get("p3").limit("-f 200");
         fleet.startAll();
         fleet.change(0);
         String large = " ".repeat(60_000);
