Bind a session by writes whose answer was not heard, and ask window and zone again at the write

- ReadWriteSplitter.evidence set a session's token for a write only at outcome OK.
A write that was cut, reset, timed out or whose client left may have committed, and what its answer told counts as known 100 ms after it was written, read or not: the session's next read went to a replica without it.
Now the token is the moment of the cut, and while a write is out its session reads from the primary.
- stands, asked right before the bytes go out, did not look at the window of a deduplicated repeat, whose connection may come up late; and no send looked at dedup-scope: with zone, a primary elected in another zone was sent what the old one may have run.

Tests: aWriteWhoseAnswerWasNotHeardBindsItsSessionsReads, whileAWriteIsOutItsSessionReadsFromThePrimary, aRepeatDoesNotStandOnceTheWindowIsOver, aRepeatStaysInTheZoneThatDropsIt; each tried with its line taken out: it fails.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -42,10 +42,9 @@
     private static final double UTIL_FULL = 0.9;
     /** Cores that a store is taken to have when a reported queue is turned into a wait: a common size. */
     private static final double CORES = 4;
-    /** A store with work out is silent after this many of its usual gaps between answers ... */
-    private static final double SILENT_GAPS = 12;
-    /** ... but never sooner than this many tightest aims, the length of an ordinary pause. */
-    private static final double SILENT_AIMS = 4.0 / 3;
+    /** A store with work out is silent after this many of its usual gaps between answers, but never sooner
+     * than this many tightest aims, the length of an ordinary pause. */
+    private static final double SILENT_GAPS = 12, SILENT_AIMS = 4.0 / 3;
     /** First rest of an ill store, in tightest aims; each further one is twice as long, up to the longest. */
     private static final double REST_AIMS = 4.0 / 3;
     private static final long REST_LONGEST_NS = 4_000 * MS;
@@ -75,19 +74,19 @@
     /** A list call that failed is made again after this, and up to as much again by chance. */
     private static final long ASK_AGAIN_NS = 1_000 * MS;
 
-    /** Span over which the work in hand is averaged: about the span of the cold rule. */
-    private static final double CARRY_NS = 2_000.0 * MS;
-    /** How long the busiest spell is remembered: some of the longest warm-ups. */
-    private static final double PEAK_NS = 60_000.0 * MS;
+    /** Spans over which the work in hand is averaged, about that of the cold rule, and for which the busiest
+     * spell is remembered, some of the longest warm-ups. */
+    private static final double CARRY_NS = 2_000.0 * MS, PEAK_NS = 60_000.0 * MS;
 
     private static final int TICK = 1, ASK = 2;
 
     private enum Verdict { NONE, ANY, ALL }
 
-    /** What this front knows of one session of a group; a token of 0 is none. */
+    /** One session of a group: its token (0 is none), its replica, how many of its writes are out. */
     private static final class Session {
         long token;
         Store replica;
+        int writing;
     }
 
     private static final class Group {
@@ -105,6 +104,7 @@
     private static final class Store {
         final long id;
         Group group;
+        int zone;
         Availability availability = Availability.READY;
         long startedAt;
         boolean listedWriter;
@@ -164,11 +164,14 @@
         final Pace pace;
         final Group group;
         final long session, arrived, deadline, giveUpAt, holdUntil, tokenPosition;
+        /** Whether its session must see what it wrote. */
+        final boolean writes;
         final List<Attempt> attempts = new ArrayList<>(2);
         final BitSet ended = new BitSet(), retracted = new BitSet();
         int inFlight, misses, asked;
-        long mayHaveRunAt = Long.MAX_VALUE;
         boolean done, held, accused, reached;
+        /** The first that may have run; none but a safe request has two out, so that one was sent first. */
+        Attempt ran;
         Store avoid, erred;
 
         Open(Arrived a, Settings settings, Pace pace, Group group, long now) {
@@ -178,6 +181,7 @@
             this.pace = pace;
             this.group = group;
             session = a.session();
+            writes = type.consistency() == Consistency.WRITE && settings.remembered() && session != 0;
             arrived = now;
             deadline = now + a.remainingNs();
             long slack = settings.stepNs() + MS;
@@ -204,7 +208,7 @@
         }
     }
 
-    private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
+    private record Attempt(Store store, long sentAt, long needed, int load, double work, Session writer) {}
 
     private Settings settings;
     private boolean checks;
@@ -372,20 +376,16 @@
         return s != null && inspect(s, true);
     }
 
+    /** What a session must see; the answer of a write that is out may have been written already. */
     private long token(Open o, Session session) {
-        return !settings.remembered() ? o.tokenPosition : session == null ? 0 : session.token;
+        long own = session == null ? 0 : session.writing > 0 ? now : session.token;
+        return settings.remembered() ? own : o.tokenPosition;
     }
 
     private Verdict verdict(Group group, long token) {
-        int replicas = 0;
-        int reached = 0;
-        for (Store s : group.members) {
-            if (s != group.leader && s.counts()) {
-                replicas++;
-                reached += s.known >= token ? 1 : 0;
-            }
-        }
-        return reached == 0 ? Verdict.NONE : reached == replicas ? Verdict.ALL : Verdict.ANY;
+        List<Store> replicas = group.members.stream().filter(s -> s != group.leader && s.counts()).toList();
+        long reached = replicas.stream().filter(s -> s.known >= token).count();
+        return reached == 0 ? Verdict.NONE : reached == replicas.size() ? Verdict.ALL : Verdict.ANY;
     }
 
     /** The position that a read needs if it is sent now. */
@@ -429,11 +429,9 @@
             return leader;
         }
         boolean mayTry = checks && o.misses < 2 && (leader == null || !leader.probing);
-        Store best = null;
-        for (Store s : mayTry ? o.group.members : List.<Store>of()) {
-            boolean ready = s != leader && s.nextTrial <= now && usable(s, o);
-            best = ready && (best == null || s.lag < best.lag) ? s : best;
-        }
+        Predicate<Store> due = s -> s != leader && s.nextTrial <= now && usable(s, o);
+        Store best = !mayTry ? null
+                : o.group.members.stream().filter(due).min(Comparator.comparingLong(s -> s.lag)).orElse(null);
         if (best != null) {
             restTrials(best);
         }
@@ -486,7 +484,9 @@
             return false;
         }
         s.coldLevel += o.pace.base;
-        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base);
+        Session writer = o.writes ? remember(o.group, o.session) : new Session();
+        writer.writing++;
+        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base, writer);
         o.attempts.add(attempt);
         o.inFlight++;
         s.out++;
@@ -502,14 +502,16 @@
     /** Whether the list and the age of its data allow a request to go to a store at this moment. */
     private boolean allowed(Open o, Store s) {
         boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
-        return s.group == o.group && s.listed() && fresh;
+        boolean inScope = o.ran == null || o.type.effect() != Effect.DEDUPLICATED
+                || o.type.scope() != Scope.ZONE || s.zone == o.ran.store.zone;
+        return s.group == o.group && s.listed() && fresh && inScope;
     }
 
     /** Asked right before an attempt is written: its connection may have taken long to come up. */
     public boolean stands(long now, long id, int attempt) {
         this.now = now;
         Open o = opens.get(id);
-        return o != null && !o.done && allowed(o, o.attempts.get(attempt).store);
+        return o != null && !o.done && mayRunAgain(o) && allowed(o, o.attempts.get(attempt).store);
     }
 
     private long limit(Open o, Store s) {
@@ -524,7 +526,7 @@
         if (o.done) {
             return;
         }
-        boolean mayHaveRun = o.inFlight > 0 || o.mayHaveRunAt != Long.MAX_VALUE;
+        boolean mayHaveRun = o.inFlight > 0 || o.ran != null;
         boolean refusable = o.safe() || !mayHaveRun
                 || o.type.effect() == Effect.DEDUPLICATED && o.type.scope() == Scope.ALL;
         sink.accept(refusable
@@ -615,12 +617,15 @@
     }
 
     private boolean repeatable(Open o) {
-        boolean mayRepeat = o.mayHaveRunAt == Long.MAX_VALUE || switch (o.type.effect()) {
+        return mayRunAgain(o) && o.attempts.size() < o.limits.maxAttempts();
+    }
+
+    private boolean mayRunAgain(Open o) {
+        return o.ran == null || switch (o.type.effect()) {
             case IDEMPOTENT -> true;
-            case DEDUPLICATED -> now < o.mayHaveRunAt + o.type.windowNs() - WINDOW_MARGIN_NS;
+            case DEDUPLICATED -> now < o.ran.sentAt + o.type.windowNs() - WINDOW_MARGIN_NS;
             case AT_MOST_ONCE -> false;
         };
-        return mayRepeat && o.attempts.size() < o.limits.maxAttempts();
     }
 
     /** Takes repeatable work back from a store that has gone silent; what was sent since is its trial. */
@@ -647,9 +652,7 @@
         o.inFlight--;
         a.store.out--;
         a.store.outWork -= a.work;
-        if (!e.outcome().neverRan) {
-            o.mayHaveRunAt = Math.min(o.mayHaveRunAt, a.sentAt);
-        }
+        o.ran = o.ran == null && !e.outcome().neverRan ? a : o.ran;
         o.reached |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touched.add(o.group);
         reported(a.store, e.report(), e.role() == Role.PRIMARY);
@@ -686,12 +689,14 @@
                 sawLag(s, Math.max(0, now - e.positionNs()));
             }
         }
-        boolean write = o.type.consistency() == Consistency.WRITE;
-        if (e.outcome() == Outcome.OK && write && settings.remembered() && o.session != 0) {
+        a.writer.writing--;
+        if (o.writes && !e.outcome().neverRan) {
             Session session = remember(o.group, o.session);
-            session.token = Math.max(session.token, e.positionNs() > 0 ? e.positionNs() : now);
+            boolean told = e.outcome() == Outcome.OK && e.positionNs() > 0;
+            // where its answer was not heard it may have taken effect, and been told, up to now
+            session.token = Math.max(session.token, told ? e.positionNs() : now + MS);
         }
-        if (write || !checks) {
+        if (o.type.consistency() == Consistency.WRITE || !checks) {
             return;
         }
         if (e.outcome() == Outcome.OK && e.role() == Role.REPLICA) {
@@ -735,7 +740,7 @@
             case OK -> {
                 answeredWell(s);
                 if (a.sentAt > stalledAt) {
-                    pace(s, o, e.latencyNs(), a.outAtSend);
+                    pace(s, o, e.latencyNs(), a.load);
                 }
                 s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
@@ -836,11 +841,9 @@
         long aim = o.arrived + o.type.onTimeNs();
         // a late request takes what is left over: it must not build a queue that makes others late too
         long left = Math.min(now < aim ? aim - now : o.type.onTimeNs(), o.giveUpAt - now);
-        double queue = queue(s);
-        boolean free = s.out == 0 || queue < 1 && s.out < 2 * FREE_SLOTS;
-        double b = o.pace.base;
-        double wait = queue * b / CORES;
-        return free ? wait + b <= left : wait + expected(s, o) <= FIT_IN * left;
+        boolean free = s.out == 0 || queue(s) < 1 && s.out < 2 * FREE_SLOTS;
+        double wait = queue(s) * o.pace.base / CORES;
+        return free ? wait + o.pace.base <= left : wait + expected(s, o) <= FIT_IN * left;
     }
 
     /** Most of a group looks ill: the load or this front is to blame, and ejecting would only add to it. */
@@ -960,9 +963,9 @@
         if (position > now) {
             return;
         }
+        double waiting = field(report, settings.inflightField()) - CORES;
         double full = field(report, settings.utilField()) > UTIL_FULL ? 1 : 0;
-        double excess = Math.max(full, field(report, settings.inflightField()) - CORES);
-        s.queue = Math.max(excess, field(report, settings.queueField()));
+        s.queue = Math.max(Math.max(full, waiting), field(report, settings.queueField()));
         s.queueAt = now;
         s.known = Math.max(s.known, position);
         boolean primary = settings.primaryField() >= 0 && report[settings.primaryField()] == 1f;
@@ -1007,6 +1010,7 @@
         s.group.members.remove(s);
         s.group = group;
         group.members.add(s);
+        s.zone = line.zone();
         s.availability = line.availability();
         s.listedGone = false;
         if (line.startedAt() > s.startedAt) {
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -226,4 +226,81 @@
         List<Action> again = f.at(0, new GiveUp(1), new GiveUp(2));
         assertFalse(Front.failed(again) || Front.refused(again), "one answer each");
     }
+
+    /** A front whose replicas all stand 5 ms back, known at this moment. */
+    private static Front caughtUp(Settings settings) {
+        Front f = new Front(settings, 1).listed();
+        f.at(0, f.probe(1, 0, true), f.probe(2, 5, false), f.probe(3, 5, false));
+        return f;
+    }
+
+    /**
+     * What an answer told counts as known though it was cut, reset or lost with its client on the way to us: its session
+     * must see what the write may have committed up to the cut.
+     */
+    @Test
+    void aWriteWhoseAnswerWasNotHeardBindsItsSessionsReads() {
+        for (Outcome lost : List.of(Outcome.RESET, Outcome.TIMEOUT, Outcome.CANCELLED, Outcome.ERROR)) {
+            Front f = caughtUp(Front.settings(Guards.OFF, true));
+            assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+            if (lost == Outcome.CANCELLED) {
+                f.at(1, new ClientLeft(1));
+            }
+            f.now += 20 * MS;
+            f.at(0, f.probe(2, 5, false), f.probe(3, 5, false));
+            f.at(0, new Answered(1, 1, 0, lost == Outcome.CANCELLED, lost, 5 * MS, Role.UNKNOWN, 0, new float[0]));
+            assertTrue(f.sentWhenAsked(1, Front.request(2, Front.OWN, 5)) <= 1, lost + ": no replica has all up to the cut");
+            assertTrue(f.sentWhenAsked(0, Front.request(3, Front.OWN, 6)) > 1, "another session's read");
+            f.now += 50 * MS;
+            f.at(0, f.probe(2, 5, false), f.probe(3, 5, false));
+            long then = f.sentWhenAsked(0, Front.request(4, Front.OWN, 5));
+            assertTrue(then > 1, lost + ": replicas are past the cut, but it went to " + then);
+        }
+    }
+
+    /** Its answer may have been written and be on its way, or wait here to be read. */
+    @Test
+    void whileAWriteIsOutItsSessionReadsFromThePrimary() {
+        Front f = caughtUp(Front.settings(Guards.OFF, true));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        assertEquals(1, f.sentWhenAsked(1, Front.request(2, Front.OWN, 5)));
+        f.at(1, f.answer(1, 0, 1, Outcome.FULL, Role.PRIMARY, 0));
+        f.at(1, f.answer(1, 1, Front.sends(f.all).get(2).store(), Outcome.MISS, Role.REPLICA, 0));
+        f = caughtUp(Front.settings(Guards.OFF, true));
+        f.at(1, Front.request(1, Front.UNSAFE, 5));
+        f.at(1, f.answer(1, 0, 1, Outcome.OK, Role.PRIMARY, f.now - 10 * MS));
+        assertTrue(f.sentWhenAsked(1, Front.request(2, Front.OWN, 5)) > 1, "its commit is known, and old");
+    }
+
+    /** The window counts from the first attempt's send to the last byte of a repeat, whose connection may come up late. */
+    @Test
+    void aRepeatDoesNotStandOnceTheWindowIsOver() {
+        Front f = caughtUp(Front.settings(Guards.OFF, true));
+        f.at(1, Front.request(1, Front.KEYED, 5));
+        long sent = f.now;
+        assertEquals(1, Front.sentTo(f.at(700, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0))));
+        assertTrue(f.splitter.stands(sent + 740 * MS, 1, 1));
+        assertFalse(f.splitter.stands(sent + 760 * MS, 1, 1), "too near the end of 800 ms");
+    }
+
+    /** Where repeats are dropped by zone, a primary of another zone would run what the old one may have run. */
+    @Test
+    void aRepeatStaysInTheZoneThatDropsIt() {
+        for (Scope scope : Scope.values()) {
+            Settings old = Front.settings(Guards.OFF, true);
+            List<RequestClass> classes = new ArrayList<>(old.classes());
+            RequestClass keyed = classes.get(Front.KEYED);
+            classes.set(Front.KEYED, new RequestClass(keyed.consistency(), 0, keyed.onTimeNs(), keyed.deadlineNs(), 3, 0.5,
+                    Effect.DEDUPLICATED, scope, 800 * MS));
+            Front f = new Front(new Settings(0, 2, 0, 5 * MS, classes, List.of(), 1, old.guards(), 0, Front.ZERO, true,
+                    true, false, old.rules(), old.limits(), 0, 1, 2, -1, -1), 1);
+            f.at(0, new ListChanged(ListMode.CACHED, 1, List.of(new Listing(1, 1, 0, 0, Availability.READY, true, 0, 1),
+                    new Listing(2, 1, 1, 0, Availability.READY, false, 0, 1))));
+            f.at(0, f.probe(1, 0, true), f.probe(2, 5, false));
+            assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.KEYED, 5))));
+            f.at(100, f.probe(2, 0, true));
+            long next = Front.sentTo(f.at(0, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0)));
+            assertEquals(scope == Scope.ZONE ? 0 : 2, next, "a new primary in another zone, " + scope);
+        }
+    }
 }
