Anchor the clock by its closest readings: a stall at the start made data look fresher

Clock read the wall clock and then, some cold code later, the steady one. A thread that lost its core in between ran behind by that gap for the life of the process: bounds were counted from a moment too old, and a replica just beyond one was sent a read. Now the closest of eight readings counts, and what is left of its gap makes the clock run ahead. How large the gap gets was not measured.

--- a/pooler/src/main/java/holdmux/core/Clock.java
+++ b/pooler/src/main/java/holdmux/core/Clock.java
@@ -1,5 +1,8 @@
 package holdmux.core;
 
+import java.time.Instant;
+import java.util.function.LongSupplier;
+
 /**
  * The one clock of the program: Unix time in nanoseconds, anchored once to the wall clock and monotonic from then
  * on. Positions on sockets are Unix milliseconds, so both compare without conversion of the zero point.
@@ -7,11 +10,37 @@
 public final class Clock {
     public static final long MS = 1_000_000L;
 
+    /** Tries at reading both clocks at one moment; a start is busy, and a stall between the two readings stays for good. */
+    private static final int TRIES = 8;
+
+    private final LongSupplier steady;
     private final long offset;
 
     public Clock() {
-        java.time.Instant wall = java.time.Instant.now();
-        offset = wall.getEpochSecond() * 1_000 * MS + wall.getNano() - System.nanoTime();
+        this(Clock::wall, System::nanoTime);
+    }
+
+    /**
+     * Anchored by the readings that lay closest together, and to the earlier of the steady ones: what is left of the gap
+     * makes this clock run ahead, where data look older, never behind, where a replica would look fresher than it is.
+     */
+    Clock(LongSupplier wall, LongSupplier steady) {
+        this.steady = steady;
+        long closest = Long.MAX_VALUE;
+        long best = 0;
+        for (int i = 0; i < TRIES; i++) {
+            long before = steady.getAsLong();
+            long at = wall.getAsLong();
+            long gap = steady.getAsLong() - before;
+            best = gap < closest ? at - before : best;
+            closest = Math.min(closest, gap);
+        }
+        offset = best;
+    }
+
+    private static long wall() {
+        Instant now = Instant.now();
+        return now.getEpochSecond() * 1_000 * MS + now.getNano();
     }
 
     /** Nanoseconds in whole milliseconds, rounded up so that a wait told in them is never shorter. */
@@ -19,7 +48,8 @@
         return (ns + MS - 1) / MS;
     }
 
+    /** Unix time in nanoseconds. */
     public long now() {
-        return System.nanoTime() + offset;
+        return steady.getAsLong() + offset;
     }
 }
