Hear of a change within 6 s whatever became of two calls to discovery

Two silent calls took 3 s each, with a connect of up to 1 s and a pause of up to 0.75 s behind each: 8 s and more before a third was answered, for a change that counts as told after 6 s. And 3 s were each read's own (SO_TIMEOUT): half an answer that dripped kept a call for ever. Now one bound holds for a call's whole answer (CallInput), and 2.5 s, 1.3 s, three connects of 0.3 s and both pauses sum up to 5.6 s. A list with an older number than the one in force undid a drain; it is refused, and only a second whole one, which shows that counting began anew, is taken.

Tests: twoCallsThatFailInAnyWayLeaveTimeForAThird, halfAnAnswerIsGivenUpLikeSilence, anOlderListChangesNothing.

--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -2,6 +2,7 @@
 
 import holdmux.config.ConfigException;
 import holdmux.config.HostList;
+import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
@@ -10,6 +11,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -20,14 +22,20 @@
  * waited for in its queue rather than made again, and failed ones are made again ever later, at random times.
  */
 public final class Watch implements Runnable {
+    /**
+     * Whatever became of earlier calls, a change counts as told this long after discovery had it and could be reached. Two
+     * calls in a row may be silent, accepted and never answered or cut in half, each with its pause and a slow connect:
+     * the third is answered within this. The figures below add up to 5.6 s at most.
+     */
+    static final int TOLD_MS = 6_000;
     /** How long one call waits. Short, because what a lost call had to tell counts as told 2 s after this. */
     static final int HOLD_MS = 2_000;
     /** Silence beyond the hold that shows a dead call: the agent is on this machine and answers at once. */
-    static final int SILENCE_MS = 1_000;
-    private static final int CONNECT_MS = 1_000;
-    /** The first call of a watch may wait its turn at discovery, which is short of room when most poolers start. Half the
-     * time after which what a silent watch misses counts as told: a watch that is silent anew is heard of in that time too. */
-    private static final int TURN_MS = 3_000;
+    static final int SILENCE_MS = 500;
+    static final int CONNECT_MS = 300;
+    /** A call that begins a watch. A process's first one may wait its turn at discovery, which is short of room when most
+     * poolers start; one behind a call that failed may not, by {@link #TOLD_MS}. */
+    static final int TURN_MS = 2_500, AGAIN_TURN_MS = 1_300;
     /** The hold of the first call: a new process is not ready before it has been told. */
     private static final int FIRST_HOLD_MS = 500;
     /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. What discovery
@@ -46,6 +54,8 @@
     private long seq;
     /** Whether the whole list is to be asked for, and whether the next call begins a watch. */
     private boolean whole, begins = true;
+    /** Whether the list had before was older than one had already: a second such one shows that counting began anew. */
+    private boolean older;
     private int failures;
 
     /** {@code known} is the list as it was last had, empty for none; {@code lists} takes each further one in, in order. */
@@ -108,10 +118,11 @@
 
     /** Calls over one connection until it ends; its last answer may close it in good order. */
     private void follow(Socket socket, InetSocketAddress at) throws IOException {
-        InputStream in = new BufferedInputStream(socket.getInputStream());
+        CallInput bounded = new CallInput(socket);
+        InputStream in = new BufferedInputStream(bounded);
         boolean open = true;
         while (open) {
-            socket.setSoTimeout(patienceMs(begins));
+            bounded.within(patienceMs(begins, failures));
             socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
             HttpResponse response = HttpResponse.read(in);
             if (response.status() != 200) {
@@ -130,10 +141,17 @@
     }
 
     private void take(HostList list) {
-        if (list.whole() || !list.hosts().isEmpty()) {
+        boolean news = list.whole() || !list.hosts().isEmpty();
+        if (news && list.seq() < seq && !(list.whole() && older)) {
+            older = true;
+            throw new ConfigException("list " + list.seq() + " is older than " + seq + ", which is in force");
+        }
+        older = false;
+        if (news) {
             lists.accept(list);
+            seq = list.seq();
         }
-        seq = list.seq();
+        seq = Math.max(seq, list.seq());
         begins = whole; // a whole list is no watch yet
         whole = false;
         if (failures > 0) {
@@ -142,9 +160,9 @@
         }
     }
 
-    /** How long a call may be silent before it is given up; {@code begins}: one that begins a watch. */
-    static int patienceMs(boolean begins) {
-        return begins ? TURN_MS : HOLD_MS + SILENCE_MS;
+    /** How long a call may take before it is given up; {@code begins}: one that begins a watch, behind so many failures. */
+    static int patienceMs(boolean begins, int failures) {
+        return !begins ? HOLD_MS + SILENCE_MS : failures == 0 ? TURN_MS : AGAIN_TURN_MS;
     }
 
     static long pauseMs(int failures, SplittableRandom random) {
@@ -170,4 +188,36 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** The input of one connection, with one bound for all of a call's answer: half an answer is no sign of life. */
+    private static final class CallInput extends InputStream {
+        private final Socket socket;
+        private final InputStream in;
+        private long by;
+
+        CallInput(Socket socket) throws IOException {
+            this.socket = socket;
+            in = socket.getInputStream();
+        }
+
+        void within(int ms) {
+            by = System.nanoTime() + ms * Clock.MS;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] into, int at, int length) throws IOException {
+            long left = by - System.nanoTime();
+            if (left <= 0) {
+                throw new SocketTimeoutException("the answer was not whole in time");
+            }
+            socket.setSoTimeout((int) Clock.millisUp(left));
+            return in.read(into, at, length);
+        }
+    }
 }
--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -47,7 +47,11 @@
     }
 
     private static String list(long seq) {
-        String body = "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[" + HOST + "]}";
+        return list(seq, false);
+    }
+
+    private static String list(long seq, boolean whole) {
+        String body = "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + HOST + "]}";
         return "200 OK\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
@@ -72,7 +76,7 @@
      */
     @Test
     void aSilentCallIsMadeAnewBeforeWhatItMissesCounts() throws Exception {
-        assertTrue(Watch.patienceMs(true) <= 3_000 && Watch.patienceMs(false) <= 3_000);
+        assertTrue(Watch.patienceMs(true, 0) <= 3_000 && Watch.patienceMs(false, 0) <= 3_000);
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             follow(agent);
             try (Socket silent = agent.accept()) {
@@ -98,6 +102,59 @@
         }
     }
 
+    /** Whatever became of two calls, the third is answered before what they missed counts as told. */
+    @Test
+    void twoCallsThatFailInAnyWayLeaveTimeForAThird() {
+        for (boolean begins : new boolean[] {true, false}) {
+            long most = 0;
+            for (int seed = 0; seed < 2_000; seed++) {
+                SplittableRandom random = new SplittableRandom(seed);
+                most = Math.max(most, Watch.pauseMs(1, random) + Watch.pauseMs(2, random));
+            }
+            long sum = Watch.patienceMs(begins, 0) + Watch.patienceMs(true, 1) + 3 * Watch.CONNECT_MS + most;
+            assertTrue(sum <= Watch.TOLD_MS - 400, begins + ": " + sum);
+        }
+        long returned = Watch.patienceMs(true, 1_000) + Watch.CONNECT_MS + 750;
+        assertTrue(returned <= 4_000, "a call that was silent as discovery came back, after a new configuration: " + returned);
+    }
+
+    /** Bytes that drip are no sign of life: each used to give the call its whole patience again. */
+    @Test
+    void halfAnAnswerIsGivenUpLikeSilence() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            follow(agent);
+            try (Socket half = agent.accept()) {
+                long by = System.nanoTime() + 3_000_000_000L;
+                Thread drips = Workers.thread("drips", () -> {
+                    try {
+                        for (byte b : ("HTTP/1.1 200 OK\r\nX-Padding: " + "x".repeat(1_000)).getBytes(StandardCharsets.UTF_8)) {
+                            half.getOutputStream().write(b);
+                            Thread.sleep(100);
+                        }
+                    } catch (java.io.IOException | InterruptedException e) {
+                        // given up
+                    }
+                });
+                drips.start();
+                assertEquals("?from=41&hold_ms=500", call(agent, list(43)));
+                assertTrue(System.nanoTime() < by, "the call was given its patience anew with each byte");
+                assertEquals(43, taken.take());
+            }
+        }
+    }
+
+    /** A list older than what is in force would undo a drain; only a second whole one shows that numbers began anew. */
+    @Test
+    void anOlderListChangesNothing() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            follow(agent);
+            assertEquals("?from=41&hold_ms=500", call(agent, list(40)));
+            assertEquals("", call(agent, list(7, true)), "the whole list is asked for");
+            assertEquals(7, taken.take(), "a second one that is older");
+            assertEquals(1, counters.get(Counter.LISTS_REFUSED));
+        }
+    }
+
     /** Poolers that all lost discovery at one moment must not come back to it at one moment, nor ever faster. */
     @Test
     void failedCallsAreMadeAgainEverLaterAndAtRandom() {
