See every client's end, serve CancelRequest, and close without taking the last answer along

- ClientSession.awaitRoom stopped the reader at 33 commands or 8 KiB ahead, so that nobody saw the end of a client that sent much and went: its query was sent again for nobody.
The reader never stops now; what comes beyond what may wait is refused in its turn, and what comes behind a fatal error or Terminate is dropped.
- A CancelRequest was read and dropped, and the key given out was 0.
Each session has a random key; the query that runs is given up and answered 57014 once, a wrong key changes nothing.
- Connections were closed over unread bytes, which resets them and takes an unsent answer along: at fatal errors, in turning away, at a drain.
Now the output ends first and the input is dropped for 150 ms (lingering close).
What is read after that is never sent on: before, end() shut the input alone and a request that slipped in was served.
- closeUnlessAnswering looked at reading without the lock, and could close over a query just taken and sent.
- Without a free thread a request was answered by its reader, blind to the client's end; it is refused at once.
- left() did not cut attempts where cancel is forbidden; accept() leaked a socket that broke at once, and would have spun where no descriptor was left.
- A second process of this pooler is told of writes whose answer was not heard as well.

Tests: nothingIsSentForAClientThatHasGone (closes, resets, half-closes, cancels; with 0, 300 and 3 large queries behind), nothingIsWrittenOnAConnectionThatComesUpForAClientThatHasGone, aQueryIsCancelledByItsKeyAlone, theLastWordIsHeardWhateverWasSentBehindIt, whatComesAfterTheEndIsNeverSentOn, whatIsGivenUpDoesNotWaitForItsAttempt.

--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -165,8 +165,8 @@
                     Attempted attempted = carryOut(attempt, statement, client);
                     deadlines.cancel(timeOut);
                     answered(request, attempt, attempted.reply());
+                    tellWrite(request.call, attempted.reply());
                     if (attempted.reply().outcome() == Outcome.OK) {
-                        tellWrite(request.call, attempted.reply());
                         pass(attempted.value(), client);
                         return;
                     }
@@ -240,9 +240,11 @@
         }
     }
 
+    /** Where its answer was not heard, a write may have taken effect up to now. */
     private void tellWrite(Request.Call call, Reply reply) {
-        if (call.consistency() == Consistency.WRITE) {
-            long position = reply.positionNs() > 0 ? reply.positionNs() : clock.now();
+        if (call.consistency() == Consistency.WRITE && !reply.outcome().neverRan) {
+            boolean told = reply.outcome() == Outcome.OK && reply.positionNs() > 0;
+            long position = told ? reply.positionNs() : clock.now() + Clock.MS;
             writeLog.written(new Written(call.group(), call.session(), position));
         }
     }
@@ -265,13 +267,14 @@
         return Counter.valueOf("ATTEMPT_" + outcome.name());
     }
 
-    /** The client has gone away; the module takes back what is still out for it. */
+    /** The client has gone away, or wants no answer any more: what is still out for it is given up. */
     public void left(Request request) {
         lock.lock();
         try {
             if (!request.over) {
                 request.over = true;
                 feed(new ClientLeft(request.id));
+                request.attempts.forEach(attempt -> attempt.cut(Outcome.CANCELLED));
                 request.post(new Request.Left());
             }
         } finally {
--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -13,6 +13,8 @@
 final class ClientInput {
     /** Holds a usual read of some 110 bytes whole, so that it takes one call to the system. */
     private static final int AHEAD = 512;
+    /** What is dropped at once, and the pause behind it: 8 MiB/s, in which a flood of 1 MiB is over before it is missed. */
+    private static final int DROP = 8_192, DROP_PAUSE_MS = 1;
 
     private final Socket socket;
     private final InputStream in;
@@ -87,6 +89,21 @@
         }
     }
 
+    /** Reads and drops what still comes, at a pace that costs others little; returns at the end of the input. */
+    void drop() throws IOException {
+        from = to = 0;
+        byte[] sink = new byte[DROP];
+        socket.setSoTimeout(0);
+        while (in.read(sink, 0, DROP) >= 0) {
+            try {
+                Thread.sleep(DROP_PAUSE_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     private int more(byte[] into, int at, int length) throws IOException, ProtocolException {
         long left = Math.min(pauseMs, (by - clock.now()) / Clock.MS + 1);
         if (left > 0) {
--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -54,7 +54,8 @@
         message.writeTo(this);
     }
 
-    void greet(int protocol) throws IOException {
+    /** {@code key}: what a CancelRequest must name, the process in its upper half. */
+    void greet(int protocol, long key) throws IOException {
         message(message -> {
             if (protocol != Message.PROTOCOL_3) {
                 message.begin('v').put(Message.PROTOCOL_3).put(0).end(); // NegotiateProtocolVersion
@@ -63,7 +64,7 @@
                     .parameterStatus("server_encoding", "UTF8").parameterStatus("client_encoding", "UTF8")
                     .parameterStatus("standard_conforming_strings", "on").parameterStatus("DateStyle", "ISO, MDY")
                     .parameterStatus("integer_datetimes", "on")
-                    .begin('K').put(0).put(0).end().readyForQuery();
+                    .begin('K').put((int) (key >>> Integer.SIZE)).put((int) key).end().readyForQuery();
         });
     }
 
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -18,7 +18,6 @@
 import holdmux.statement.StatementException;
 import holdmux.statement.Text;
 import java.io.IOException;
-import java.io.InterruptedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -30,8 +29,10 @@
 import java.util.concurrent.RejectedExecutionException;
 
 /**
- * One client connection. Its thread only reads, so that it sees a client that leaves; what came whole is answered in
- * order on a worker thread, which is held only while there is something to answer.
+ * One client connection. Its thread only reads, and never stops before the end of the input, so that it always sees a
+ * client that leaves; what came whole is answered in order on a worker thread, which is held only while there is
+ * something to answer. Who answers last ends the output; the reader then drops what still comes, up to the client's own
+ * end or for a short while, since a close over unread bytes would take the last answer with it (a lingering close).
  */
 final class ClientSession implements Runnable {
     /** What all sessions share. */
@@ -62,22 +63,29 @@
     /** Whatever its pauses, a message must come at this pace after a start: who drips holds buffers for good. */
     private static final int DRIP_MS = 10_000, DRIP_BYTES_PER_MS = 16;
     /** Commands that may wait on one connection behind the one that is answered, and bytes of them that are read
-     * ahead. Drivers that pipeline send a few; the caps of all clients together are a few MiB. */
-    private static final int MOST_AHEAD = 32, BYTES_AHEAD = 8_192;
+     * ahead. Drivers that pipeline send a few; the caps of all clients together are a few MiB. What comes beyond is
+     * refused in its turn, up to so many commands. */
+    private static final int MOST_AHEAD = 32, BYTES_AHEAD = 8_192, MOST_REFUSED = 10_000;
+    /** How long a connection whose output has ended waits for its client's end: some times the way there and back. */
+    private static final long LINGER_NS = 150 * Clock.MS;
+    private static final ProtocolException TOO_MANY =
+            ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
     private final Socket socket;
     private final Context context;
     private final Counters counters;
     private final ClientInput in;
     private final ClientOutput out;
-    /** All under this object's monitor. What waits to be answered, at most MOST_AHEAD turns. */
+    /** All under this object's monitor. What waits to be answered: at most MOST_AHEAD turns, commands that came beyond
+     * what may wait, and the last word there will be. */
     private final ArrayDeque<Turn> ahead = new ArrayDeque<>(2);
-    private int bytesAhead;
-    /** Whether a message has begun to come in, one is being answered, too many came at once, the connection is to
-     * end once all is answered, and has ended. */
+    private int bytesAhead, beyond;
+    private Turn last;
+    /** Whether a message has begun to come in, one is being answered, too many came at once, the connection is to end
+     * once all is answered, and has ended: from then on nothing that comes in is taken. */
     private boolean reading, answering, flooded, closing, ended;
-    /** Whether the input was ended from here, and whether nobody reads any more, so that who answers last closes. */
-    private boolean ending, unread;
     private Request current;
+    /** Whether its client has asked for the current request to be cancelled. */
+    private boolean cancelled;
 
     ClientSession(Socket socket, Context context) throws IOException {
         this.socket = socket;
@@ -90,21 +98,19 @@
     @Override
     public void run() {
         try {
-            if (startup()) {
-                boolean goOn = true;
-                while (goOn) {
-                    goOn = message();
-                }
-            } else {
+            if (!startup()) {
                 close();
+                return;
             }
+            while (message()) {
+                // the next one
+            }
+            drop();
         } catch (ProtocolException e) {
-            readNoMore();
-            answerLater(new Turn(null, e));
+            answerLater(new Turn(null, e), true);
+            drop();
         } catch (IOException e) {
-            if (!endsAfterAnswer()) {
-                leave(); // the client is gone, or was told to go
-            }
+            leave(); // the client is gone, or was told to go
         } catch (RuntimeException e) {
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("a client could not be read", e);
@@ -112,6 +118,16 @@
         }
     }
 
+    /** Nothing more is taken: reads on all the same, up to the client's end. */
+    private void drop() {
+        try {
+            in.drop();
+        } catch (IOException e) {
+            // closed, by whichever side
+        }
+        leave();
+    }
+
     /** Up to the first ReadyForQuery; false where the connection was for something else. */
     private boolean startup() throws IOException, ProtocolException {
         in.within(PAUSE_MS, PAUSE_MS);
@@ -125,6 +141,9 @@
                 in.skip(length - 8);
                 out.write('N');
             } else if (code == CANCEL_REQUEST) {
+                if (length == 2 * Long.BYTES) {
+                    context.clients().cancel(in.number(), in.number());
+                }
                 return false;
             } else if (code >>> 16 != 3) {
                 throw ProtocolException.fatal(SqlState.FEATURE_NOT_SUPPORTED, "protocol " + (code >>> 16));
@@ -141,7 +160,7 @@
         if (!hasUser(names)) {
             throw ProtocolException.fatal(SqlState.INVALID_AUTHORIZATION, "the startup packet names no user");
         }
-        out.greet(protocol);
+        out.greet(protocol, context.clients().keyOf(this));
     }
 
     private static boolean hasUser(byte[] names) throws ProtocolException {
@@ -160,9 +179,10 @@
 
     /** Reads one message; false if no more are wanted. */
     private boolean message() throws IOException, ProtocolException {
-        awaitRoom();
         int type = in.first();
-        begin();
+        if (!begin()) {
+            return false;
+        }
         in.within(PAUSE_MS, PAUSE_MS);
         int length = in.number() - Integer.BYTES;
         if (length < 0) {
@@ -171,20 +191,42 @@
             throw ProtocolException.fatal(SqlState.PROGRAM_LIMIT_EXCEEDED, "a message of " + length + " bytes");
         }
         switch (type) {
-            case 'Q' -> answerLater(query(length));
+            case 'Q' -> {
+                if (hasRoom()) {
+                    answerLater(query(length), false);
+                } else {
+                    in.within(DRIP_MS + length / DRIP_BYTES_PER_MS, PAUSE_MS);
+                    in.skip(length);
+                    refuseLater();
+                }
+            }
             case 'X' -> {
-                readNoMore();
-                answerLater(new Turn(null, null));
+                answerLater(new Turn(null, null), true);
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
                     SqlState.FEATURE_NOT_SUPPORTED, "only simple queries are served here");
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "a message of type " + type);
         }
+        return true;
+    }
+
+    /** Whether one more command may wait; behind one that is refused all are, up to where nothing waits. */
+    private synchronized boolean hasRoom() {
+        flooded |= ahead.size() >= MOST_AHEAD;
+        return beyond == 0 && !flooded && bytesAhead <= BYTES_AHEAD;
+    }
+
+    /** A command that was not taken in: its refusal comes in its turn. */
+    private void refuseLater() throws ProtocolException {
         synchronized (this) {
-            flooded |= ahead.size() > MOST_AHEAD;
+            if (beyond == MOST_REFUSED) {
+                throw ProtocolException.fatal(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
+            }
+            reading = false;
+            beyond++;
         }
-        return true;
+        answerNow();
     }
 
     /** Reads the body of a query; a long one into buffers of the pool, as its bytes come and the pool has room. */
@@ -218,12 +260,26 @@
         }
     }
 
-    /** Puts a turn behind those that wait, and sees that someone answers them. */
-    private void answerLater(Turn turn) {
+    /** Puts a turn behind those that wait, the {@code end} of all behind what is refused, and sees that someone answers. */
+    private void answerLater(Turn turn, boolean end) {
         synchronized (this) {
             reading = false;
-            ahead.add(turn);
-            bytesAhead += turn.length();
+            if (ended) {
+                release(turn); // too late: the output has ended, and nothing is sent on
+                return;
+            }
+            if (end) {
+                last = turn;
+            } else {
+                ahead.add(turn);
+                bytesAhead += turn.length();
+            }
+        }
+        answerNow();
+    }
+
+    private void answerNow() {
+        synchronized (this) {
             if (answering) {
                 return;
             }
@@ -232,8 +288,11 @@
         try {
             context.workers().execute(this::answerAll);
         } catch (RejectedExecutionException e) {
-            counters.count(Counter.OVER_CAPACITY);
-            answerAll(); // no thread to be had: this one does it, blind meanwhile to a client that leaves
+            // no thread to be had: this one must go on reading, so it refuses what waits, and waits for nothing itself
+            synchronized (this) {
+                flooded = true;
+            }
+            answerAll();
         }
     }
 
@@ -258,16 +317,17 @@
     private Turn next() {
         boolean end;
         synchronized (this) {
-            Turn turn = ahead.poll();
+            Turn turn = waiting();
             if (turn != null) {
-                bytesAhead -= turn.length();
-                notifyAll();
                 return turn;
             }
             answering = false;
             flooded = false;
-            notifyAll();
-            end = ended || (closing || context.clients().sendsAway()) && !reading;
+            if (ended) {
+                return null;
+            }
+            end = (closing || context.clients().sendsAway()) && !reading;
+            ended = end;
         }
         if (end) {
             end();
@@ -277,14 +337,27 @@
         return null;
     }
 
+    private Turn waiting() {
+        Turn turn = ahead.poll();
+        if (turn != null) {
+            bytesAhead -= turn.length();
+        } else if (beyond > 0) {
+            beyond--;
+            turn = new Turn(null, TOO_MANY);
+        } else {
+            turn = last;
+            last = null;
+        }
+        return turn;
+    }
+
     private void answer(Turn turn) throws IOException {
         if (turn.wrong() != null) {
             refuseInput(turn.wrong());
         } else if (turn.query() == null) {
             endAfterThis();
         } else if (isFlooded()) {
-            counters.count(Counter.OVER_CAPACITY);
-            out.error(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once", 0);
+            refuseInput(TOO_MANY);
         } else {
             try {
                 answerQuery(turn);
@@ -349,17 +422,41 @@
             if (!begins(request)) {
                 context.balancer().left(request);
             }
-            context.balancer().life(request, statement, new PgClient(statement));
-            begins(null);
+            PgClient client = new PgClient(statement);
+            context.balancer().life(request, statement, client);
+            if (ends() && !client.answered) {
+                counters.count(Counter.QUERIES_CANCELED);
+                out.error(SqlState.QUERY_CANCELED, "canceling statement due to user request", 0);
+            }
         }
     }
 
-    /** Notes the request that is under way, null for none; false if the client has left. */
+    /** Notes the request that is under way; false if the client has left. */
     private synchronized boolean begins(Request request) {
         current = request;
         return !ended;
     }
 
+    /** No request is under way any more; whether the client had this one cancelled, and is still there. */
+    private synchronized boolean ends() {
+        boolean asked = cancelled;
+        current = null;
+        cancelled = false;
+        return asked && !ended;
+    }
+
+    /** PostgreSQL's CancelRequest: takes back the request that is under way, if any; the connection lives on. */
+    void cancel() {
+        Request now;
+        synchronized (this) {
+            now = current;
+            cancelled = now != null;
+        }
+        if (now != null) {
+            context.balancer().left(now);
+        }
+    }
+
     private void awaitReady() {
         try {
             context.ready().await();
@@ -386,6 +483,8 @@
     /** The PostgreSQL side of one request. */
     private final class PgClient implements Client {
         private final Statement statement;
+        /** Whether the one final answer has begun. */
+        private boolean answered;
 
         PgClient(Statement statement) {
             this.statement = statement;
@@ -398,6 +497,7 @@
 
         @Override
         public void serve(Value value) throws IOException {
+            answered = true;
             try {
                 if (value instanceof PgValue same) {
                     if (same.isLong()) {
@@ -417,11 +517,13 @@
 
         @Override
         public void refuse(long waitNs) throws IOException {
+            answered = true;
             out.error(SqlState.TOO_MANY_CONNECTIONS, "no server can take this in time", waitNs);
         }
 
         @Override
         public void fail() throws IOException {
+            answered = true;
             out.error(SqlState.TRANSACTION_RESOLUTION_UNKNOWN, "no answer came in time; the request may have run", 0);
         }
     }
@@ -444,54 +546,25 @@
         });
     }
 
-    /** Waits until not too much is read ahead, and after a flood until all of it is turned away. */
-    private synchronized void awaitRoom() throws IOException {
-        try {
-            while ((flooded || bytesAhead > BYTES_AHEAD) && !ended) {
-                wait();
-            }
-        } catch (InterruptedException e) {
-            throw new InterruptedIOException();
-        }
-    }
-
-    private synchronized void begin() {
-        reading = true;
-    }
-
-    private synchronized void readNoMore() {
-        unread = true;
+    /** A message has begun; false if the connection has ended, so that it is none. */
+    private synchronized boolean begin() {
+        reading = !ended;
+        return reading;
     }
 
     /**
-     * Ends a connection at rest. Its reader does it, woken by the end of its input: were it closed from here, a request
-     * that the reader had just taken in would be lost. What comes later is unread, and its client asks again.
+     * Ends a connection that was marked as ended with nothing reading or answering on it: first the output alone. What
+     * its client sends meanwhile is never taken, and it asks again elsewhere.
      */
     private void end() {
-        boolean mine;
-        boolean again;
-        synchronized (this) {
-            mine = unread || ended;
-            again = ending;
-            ending = true;
-        }
         try {
-            if (mine) {
-                close();
-            } else if (!again) {
-                socket.shutdownInput();
-            }
+            socket.shutdownOutput();
+            context.deadlines().after(LINGER_NS, this::close);
         } catch (IOException e) {
             close();
         }
     }
 
-    /** At the end of the input: whether that was our doing and a request slipped in before it. */
-    private synchronized boolean endsAfterAnswer() {
-        unread = true;
-        return ending && answering;
-    }
-
     /** The client has gone away: what it asked for is nobody's any more. */
     private void leave() {
         Request left;
@@ -502,7 +575,8 @@
             dropped = List.copyOf(ahead);
             ahead.clear();
             bytesAhead = 0;
-            notifyAll();
+            beyond = 0;
+            last = null;
         }
         dropped.forEach(this::release);
         if (left != null) {
@@ -511,40 +585,33 @@
         close();
     }
 
-    private synchronized boolean isReading() {
-        return reading;
-    }
-
     /** Ends the connection as soon as nothing is being answered on it. */
     void closeWhenIdle() {
         endAfterThis();
         closeAtRest();
     }
 
-    /** Ends the connection if nothing is coming in or being answered on it. */
-    void closeAtRest() {
+    /** Ends the connection if nothing is coming in or being answered on it; whether it does. */
+    boolean closeAtRest() {
         synchronized (this) {
-            if (reading || answering) {
-                return;
+            if (reading || answering || ended) {
+                return false;
             }
-            closing = true;
+            ended = true;
         }
         end();
+        return true;
     }
 
-    /** Ends the connection of a client that has asked nothing well-formed; false if it is being told so. */
+    /** Closes the connection of a client that has asked nothing well-formed; false if it is being told so. */
     boolean closeUnlessAnswering() {
         synchronized (this) {
-            if (answering || closing) {
+            if (answering) {
                 return false;
             }
-            closing = true;
-        }
-        if (isReading()) {
-            close(); // half a message: nothing was taken
-        } else {
-            end();
+            ended = true; // half a message at most: nothing was taken, and nothing is from now on
         }
+        close();
         return true;
     }
 
--- a/pooler/src/main/java/holdmux/pg/Clients.java
+++ b/pooler/src/main/java/holdmux/pg/Clients.java
@@ -3,7 +3,10 @@
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import holdmux.core.Shared;
+import java.security.SecureRandom;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +50,12 @@
     private final Map<ClientSession, Long> silent = new LinkedHashMap<>(), once = new LinkedHashMap<>(),
             resting = new LinkedHashMap<>();
     private final Set<ClientSession> regular = new HashSet<>();
+    /** Those that were closed at rest and wait for their client's end. */
+    private final Set<ClientSession> lingering = new HashSet<>();
+    /** What a CancelRequest must name to reach each session: a number and a secret, together one random figure. */
+    private final Map<Long, ClientSession> keys = new HashMap<>();
+    private final Map<ClientSession, Long> keyOf = new HashMap<>();
+    private final SecureRandom secrets = new SecureRandom();
 
     Clients(int cap, Shared shared, Clock clock, Deadlines deadlines) {
         this.cap = cap;
@@ -79,14 +88,18 @@
             return;
         }
         long now = clock.now();
-        int over = open.size() - most() / REST_PART;
+        int over = staying() - most() / REST_PART;
         over -= closeOldest(once, now - REST_NS, over);
         over -= closeOldest(resting, now - REST_NS, over);
         closeOldest(silent, now - REST_NS, over);
-        int crowd = open.size() - most() * CROWD_PART / 100;
+        int crowd = staying() - most() * CROWD_PART / 100;
         crowd -= closeOldest(once, now - CROWD_REST_NS, crowd);
         closeOldest(resting, now - REGULAR_REST_NS, crowd);
-        closeOldest(resting, now - CROWD_REST_NS, open.size() - most() * FULL_PART / 100);
+        closeOldest(resting, now - CROWD_REST_NS, staying() - most() * FULL_PART / 100);
+    }
+
+    private int staying() {
+        return open.size() - lingering.size();
     }
 
     /** Takes in a new connection, for which others may be closed; false if there is no room. */
@@ -106,11 +119,45 @@
     }
 
     /** How many it closed, at most so many. */
-    private static int closeOldest(Map<ClientSession, Long> of, long before, int most) {
-        List<ClientSession> oldest = of.entrySet().stream().limit(Math.max(0, most))
-                .takeWhile(e -> e.getValue() <= before).map(Map.Entry::getKey).toList();
-        oldest.forEach(ClientSession::closeAtRest);
-        return oldest.size();
+    private int closeOldest(Map<ClientSession, Long> of, long before, int most) {
+        int closed = 0;
+        Iterator<Map.Entry<ClientSession, Long>> all = of.entrySet().iterator();
+        while (closed < most && all.hasNext()) {
+            Map.Entry<ClientSession, Long> oldest = all.next();
+            if (oldest.getValue() > before) {
+                break;
+            }
+            if (oldest.getKey().closeAtRest()) {
+                all.remove();
+                lingering.add(oldest.getKey());
+                closed++;
+            }
+        }
+        return closed;
+    }
+
+    /** The key that this session's client is given to cancel by. */
+    synchronized long keyOf(ClientSession session) {
+        long key = secrets.nextLong();
+        while (keys.containsKey(key)) {
+            key = secrets.nextLong();
+        }
+        if (open.contains(session)) {
+            keys.put(key, session);
+            keyOf.put(session, key);
+        }
+        return key;
+    }
+
+    /** A CancelRequest: a key that nobody was given changes nothing. */
+    void cancel(int process, int secret) {
+        ClientSession named;
+        synchronized (this) {
+            named = keys.get((long) process << Integer.SIZE | Integer.toUnsignedLong(secret));
+        }
+        if (named != null) {
+            named.cancel();
+        }
     }
 
     synchronized void works(ClientSession session) {
@@ -134,6 +181,11 @@
         once.remove(session);
         resting.remove(session);
         regular.remove(session);
+        lingering.remove(session);
+        Long key = keyOf.remove(session);
+        if (key != null) {
+            keys.remove(key);
+        }
     }
 
     /** Sends clients away from now on, or no longer; a repeated order changes nothing. */
--- a/pooler/src/main/java/holdmux/pg/Listener.java
+++ b/pooler/src/main/java/holdmux/pg/Listener.java
@@ -5,6 +5,7 @@
 import holdmux.core.Log;
 import holdmux.statement.SqlState;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,6 +15,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Accepts clients; at the cap each further one is refused at once. */
 final class Listener {
@@ -24,12 +26,16 @@
     private static final int LOOK_MS = 20;
     /** Nobody came for so long: the kernel's queue is empty. A crowd that never leaves it so is not waited out. */
     private static final int EMPTY_MS = 1, MOST_EMPTYING_MS = 200;
+    /** Who is turned away has sent its startup by then, or what it sent takes our word with it; so many at most. */
+    private static final long LINGER_NS = 100 * Clock.MS;
+    private static final int MOST_LINGERING = 16, MOST_DROPPED = 64 * 1024;
 
     private final ServerSocket server = new ServerSocket();
     private final InetSocketAddress address;
     private final ClientSession.Context context;
     private final CountDownLatch closed = new CountDownLatch(1);
     private final Executor threads;
+    private final AtomicInteger lingering = new AtomicInteger();
     private volatile boolean stopping;
 
     /** {@code threads} read from clients, one each; kept for the next, since in a crowd most stay a moment only. */
@@ -69,13 +75,28 @@
             return false;
         } catch (IOException e) {
             Log.error("a client could not be accepted", e);
+            pause(); // where no descriptor is left the next one fails as well
         }
         return true;
     }
 
+    private static void pause() {
+        try {
+            Thread.sleep(LOOK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void accept(Socket socket) throws IOException {
-        socket.setTcpNoDelay(true);
-        ClientSession session = new ClientSession(socket, context);
+        ClientSession session;
+        try {
+            socket.setTcpNoDelay(true);
+            session = new ClientSession(socket, context);
+        } catch (IOException e) {
+            socket.close(); // it has left already
+            return;
+        }
         if (!context.clients().admit(session)) {
             turnAway(socket);
             return;
@@ -90,11 +111,30 @@
         }
     }
 
+    /** A word and the end of the output; the connection is closed a little later, with nothing of it unread. */
     private void turnAway(Socket socket) {
         context.counters().count(Counter.CLIENTS_TURNED_AWAY);
-        try (socket) {
+        try {
             new Message(new byte[256]).error(true, SqlState.TOO_MANY_CONNECTIONS, "too many clients", null)
                     .writeTo(socket.getOutputStream());
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            // it left by itself
+        }
+        if (lingering.incrementAndGet() > MOST_LINGERING) {
+            close(socket);
+        } else {
+            context.deadlines().after(LINGER_NS, () -> close(socket));
+        }
+    }
+
+    private void close(Socket socket) {
+        lingering.decrementAndGet();
+        try (socket; InputStream in = socket.getInputStream()) {
+            byte[] sink = new byte[1_024];
+            for (int left = MOST_DROPPED; left > 0 && in.available() > 0;) {
+                left -= Math.max(1, in.read(sink));
+            }
         } catch (IOException e) {
             // it left by itself
         }
--- a/pooler/src/main/java/holdmux/pg/ProtocolException.java
+++ b/pooler/src/main/java/holdmux/pg/ProtocolException.java
@@ -21,6 +21,11 @@
         return new ProtocolException(true, e.sqlState, e.getMessage());
     }
 
+    /** A command that is refused whatever it says; the connection goes on. */
+    static ProtocolException refused(String sqlState, String message) {
+        return new ProtocolException(true, sqlState, message);
+    }
+
     /** The framing is lost or the peer is no client of ours; the connection ends. */
     static ProtocolException fatal(String sqlState, String message) {
         return new ProtocolException(false, sqlState, message);
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -188,23 +190,34 @@
         assertEquals(List.of("refused " + 500 * Clock.MS), script.told);
     }
 
-    /** What is given up is answered at once also where the settings forbid to cancel: its attempt was waited for. */
-    @Test
-    void whatIsGivenUpDoesNotWaitForItsAttempt() {
+    /** An attempt that is given up ends at once also where the settings forbid to cancel: it was waited for. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whatIsGivenUpDoesNotWaitForItsAttempt(boolean clientLeft) {
         Limits noCancel = new Limits(6, true, false, true, true, 500 * Clock.MS, false);
         balancer.retune(deployment(with(settings(), settings().classes(), noCancel), "history", "save-quote"));
+        Request request = balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2));
+        List<Written> written = new ArrayList<>();
+        balancer.tellWritesTo(written::add);
         Script script = new Script() {
             @Override
             public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
                 attempt.carriedBy(() -> closed++);
                 attempt.written();
-                balancer.giveUpAll();
+                if (clientLeft) {
+                    balancer.left(request);
+                } else {
+                    balancer.giveUpAll();
+                }
                 assertEquals(1, closed, "its connection stays");
                 return new Attempted(Reply.of(attempt.broken()), null);
             }
         };
-        life(balancer.taken(new Request.Call("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
-        assertEquals(List.of("failed"), script.told);
+        life(request, script);
+        assertEquals(clientLeft ? List.of() : List.of("failed"), script.told);
+        // it may have committed up to the cut, and a second process of this pooler must know
+        assertEquals(1, written.size());
+        assertTrue(written.get(0).positionNs() >= clock.now() - 1_000 * Clock.MS);
     }
 
     @Test
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -29,6 +29,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -40,6 +41,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -635,4 +638,210 @@
             }
         }
     }
+
+    /** How a client goes. */
+    private enum Going {
+        CLOSES, RESETS, HALF_CLOSES, CANCELS;
+
+        void go(PoolerTest test, Socket client, byte[] key) throws IOException {
+            switch (this) {
+                case CLOSES -> client.close();
+                case RESETS -> {
+                    client.setSoLinger(true, 0);
+                    client.close();
+                }
+                case HALF_CLOSES -> client.shutdownOutput();
+                case CANCELS -> test.cancel(key);
+            }
+        }
+    }
+
+    /** Reads the greeting; what a CancelRequest must name. */
+    private static byte[] greeted(Socket client) throws IOException {
+        DataInputStream in = new DataInputStream(client.getInputStream());
+        byte[] key = null;
+        for (int type = in.read(); type != 'Z'; type = in.read()) {
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            key = type == 'K' ? body : key;
+        }
+        in.readNBytes(5);
+        return key;
+    }
+
+    private void cancel(byte[] key) throws IOException {
+        try (Socket other = client()) {
+            send(other, m -> m.put(16).put(80_877_102).put(key, 0, 8));
+            assertEquals(-1, other.getInputStream().read(), "a CancelRequest has no answer");
+        }
+    }
+
+    private void awaitOneMore(Counter counter, long than) {
+        for (int i = 0; i < 300 && counters.get(counter) == than; i++) {
+            pause(10);
+        }
+        assertEquals(than + 1, counters.get(counter), counter.toString());
+    }
+
+    /**
+     * However it goes, and whatever it had sent behind its query: no attempt begins after that. A reader that stopped
+     * because enough was waiting saw no end, and the query was sent on time and again for nobody.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void nothingIsSentForAClientThatHasGone(Going going) throws Exception {
+        String large = WRITE.replace("\\x9f", "\\x" + "9f".repeat(30_000));
+        // what waits behind is not cancelled
+        for (List<String> behind : going == Going.CANCELS ? List.of(List.<String>of())
+                : List.of(List.<String>of(), Collections.nCopies(300, WRITE), Collections.nCopies(3, large))) {
+            long left = counters.get(Counter.CLIENTS_LEFT);
+            CountDownLatch asked = new CountDownLatch(1);
+            CountDownLatch gone = new CountDownLatch(1);
+            script = m -> {
+                asked.countDown();
+                while (gone.getCount() > 0) {
+                    pause(5);
+                }
+                m.error(false, SqlState.TOO_MANY_CONNECTIONS, "full", null).readyForQuery();
+            };
+            queries.clear();
+            try (Socket client = client()) {
+                send(client, PoolerTest::startup);
+                byte[] key = greeted(client);
+                send(client, m -> query(m, WRITE));
+                asked.await();
+                for (String more : behind) {
+                    send(client, m -> query(m, more));
+                }
+                going.go(this, client, key);
+                awaitOneMore(Counter.CLIENTS_LEFT, left);
+            } finally {
+                gone.countDown();
+            }
+            pause(100);
+            assertEquals(1, queries.size(), "behind " + behind.size());
+        }
+    }
+
+    /** Its connection comes up late: the request is not written any more. */
+    @ParameterizedTest
+    @EnumSource
+    void nothingIsWrittenOnAConnectionThatComesUpForAClientThatHasGone(Going going) throws Exception {
+        greeting = () -> {
+            for (int i = 0; i < 20 && counters.get(Counter.CLIENTS_LEFT) == 0; i++) {
+                pause(10);
+            }
+        };
+        try (Socket client = client()) {
+            send(client, PoolerTest::startup);
+            byte[] key = greeted(client);
+            send(client, m -> query(m, WRITE));
+            while (counters.get(Counter.ATTEMPTS) == 0) {
+                pause(1);
+            }
+            going.go(this, client, key);
+            awaitOneMore(Counter.CLIENTS_LEFT, 0);
+        }
+        pause(100);
+        assertEquals(List.of(), queries);
+    }
+
+    /** PostgreSQL's CancelRequest: one error for the query that runs, and its connection lives on; a guess does nothing. */
+    @Test
+    void aQueryIsCancelledByItsKeyAlone() throws Exception {
+        Consumer<Message> answer = script;
+        CountDownLatch asked = new CountDownLatch(1);
+        script = m -> {
+            asked.countDown();
+            pause(2_000);
+            answer.accept(m);
+        };
+        try (Socket client = client(); Socket other = client()) {
+            send(client, PoolerTest::startup);
+            byte[] key = greeted(client);
+            send(other, PoolerTest::startup);
+            assertFalse(Arrays.equals(key, greeted(other)), "each has its own");
+            cancel(key); // nothing runs: no effect on what comes next
+            send(client, m -> query(m, WRITE));
+            asked.await();
+            byte[] guess = key.clone();
+            guess[7]++;
+            cancel(guess);
+            pause(100);
+            assertEquals(0, counters.get(Counter.QUERIES_CANCELED));
+            script = answer;
+            cancel(key);
+            cancel(key);
+            assertEquals("E57014Z", types(client, 1));
+            send(client, m -> query(m, WRITE));
+            assertEquals("TDCZ", types(client, 1));
+            assertEquals(1, counters.get(Counter.QUERIES_CANCELED));
+            assertEquals(2, queries.size(), "never sent again");
+        }
+    }
+
+    /** All that comes up to a close in good order: a reset takes with it what its peer has not read. */
+    private static String toTheEnd(Socket client) throws IOException {
+        return new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    /** A close over unread bytes resets the connection, and the last answer goes with it: the input is read out first. */
+    @Test
+    void theLastWordIsHeardWhateverWasSentBehindIt() throws Exception {
+        byte[] noise = new byte[MIB];
+        for (Consumer<Message> wrong : List.<Consumer<Message>>of(m -> m.put('Q').put(1 << 30), m -> m.put('Q').put(-7),
+                m -> m.begin('P').put("extended").end(), m -> m.put('X').put(4))) {
+            try (Socket client = client()) {
+                send(client, m -> {
+                    startup(m);
+                    query(m, WRITE);
+                    wrong.accept(m);
+                });
+                client.getOutputStream().write(noise, 0, 100_000);
+                String told = toTheEnd(client);
+                assertTrue(told.contains("SELECT 1"), told);
+            }
+        }
+        List<Socket> all = new ArrayList<>();
+        try {
+            for (int i = 0; i < SOCKETS / 2; i++) {
+                all.add(client());
+                send(all.get(i), m -> {
+                    startup(m);
+                    query(m, "");
+                });
+                assertEquals("hello IZ", types(all.get(i), 2));
+                send(all.get(i), m -> query(m, "")); // who comes back is no longer the first to go
+                assertEquals("IZ", types(all.get(i), 1));
+            }
+            try (Socket late = client()) {
+                send(late, m -> {
+                    startup(m);
+                    query(m, WRITE);
+                });
+                assertTrue(toTheEnd(late).contains("53300"), "turned away with a word");
+            }
+        } finally {
+            for (Socket socket : all) {
+                socket.close();
+            }
+        }
+    }
+
+    /** A request that is read after the connection's end began must not be sent on: nobody could be told how it went. */
+    @Test
+    void whatComesAfterTheEndIsNeverSentOn() throws Exception {
+        try (Socket rests = client()) {
+            send(rests, m -> {
+                startup(m);
+                query(m, "");
+            });
+            assertEquals("hello IZ", types(rests, 2));
+            front.closeWhenIdle();
+            assertEquals(-1, rests.getInputStream().read(), "the end comes at once");
+            send(rests, m -> query(m, WRITE));
+            awaitOneMore(Counter.CLIENTS_CLOSED, 0);
+            assertEquals(0, front.openClients());
+            assertEquals(List.of(), queries);
+        }
+    }
 }
