Do not listen in a process that was told to end during its start

Serve listened although the drain had begun: whoever connected then was cut off by the exit. By reading; the order (SIGTERM between the shutdown hook and listen) is forced by no test yet.

--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -24,6 +24,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
@@ -83,7 +84,11 @@
         upgrade.set(new Upgrade(folder, new Upgrade.Local(balancer::writes, balancer::written, operations::refresh,
                 fronts::openClients, services.slots()::held), services.shared(), deadlines, counters));
         balancer.tellWritesTo(upgrade.get());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(fronts, balancer, upgrade.get(), counters), "drain"));
+        AtomicBoolean ending = new AtomicBoolean();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            ending.set(true);
+            drain(fronts, balancer, upgrade.get(), counters);
+        }, "drain"));
         boolean takesOver = upgrade.get().join();
         if (config.management() != null) {
             Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
@@ -96,12 +101,21 @@
                 pooler.awaitReady();
                 upgrade.get().awaitTold();
             }
-        }, pooler.fronts()::listen);
+        }, () -> listen(fronts, ending));
         Log.info("holdmux " + config.name() + " serves at " + config.listen());
         upgrade.get().serves();
         pooler.run();
     }
 
+    /** A process that was told to end during its start takes nobody in: whoever came would be cut off by its exit. */
+    private static void listen(Fronts fronts, AtomicBoolean ending) throws IOException, InterruptedException {
+        if (ending.get()) {
+            Log.info("told to end before it listened");
+            Thread.currentThread().join(); // for ever: the drain ends the process
+        }
+        fronts.listen();
+    }
+
     /** One part of a start; may block. */
     interface Step {
         void run() throws IOException, InterruptedException;
