Play 3 to 120 fronts before four cold stores against N + 2 x root of N + 2

noFleetOfAnySizePushesAColdStoreOver: uneven shares, a third just restarted, arrivals by chance, 5 seeds each.

--- a/pooler/src/test/java/holdmux/decision/FleetTest.java
+++ b/pooler/src/test/java/holdmux/decision/FleetTest.java
@@ -13,7 +13,10 @@
 import holdmux.decision.SplitterApi.*;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -139,4 +142,96 @@
         f.at(0, new ListChanged(ListMode.DELTA, 2, List.of(Front.line(4, false, 0, Availability.READY))));
         assertTrue(asked(f.at(1, request(100, VIEW, 0))).contains(4L));
     }
+
+    private record Due(long at, long id, long store) {}
+
+    /**
+     * How many requests of mean work beyond what the rule puts down to chance one cold store gets from so many fronts at
+     * worst, in any span of the rule; negative where it stays under. Four of a group's six are started at once. One front has a fifth of all traffic, a quarter has
+     * hardly any, a third was started with the store and knows of no load yet, and each sees its arrivals by chance.
+     */
+    private static double beyondChance(int fronts, long seed) {
+        int stores = 6;
+        long workMs = 60;
+        double cores = 4;
+        Settings settings = settings(Guards.OFF, true);
+        SplittableRandom random = new SplittableRandom(seed);
+        double perStep = 0.9 * stores * cores / workMs * 5; // in 5 ms, for the fleet
+        double[] share = new double[fronts];
+        for (int i = 0; i < fronts; i++) {
+            share[i] = i == 0 ? 0.2 : 0.8 / fronts * (i % 4 == 0 ? 0.1 : 0.5 + random.nextDouble());
+        }
+        double all = Arrays.stream(share).sum();
+        List<Front> fleet = new ArrayList<>();
+        List<PriorityQueue<Due>> out = new ArrayList<>();
+        List<Listing> warm = LongStream.rangeClosed(1, stores).mapToObj(s -> Front.line(s, s == 1, 0, Availability.READY)).toList();
+        for (int i = 0; i < fronts; i++) {
+            fleet.add(Front.oneOf(fronts, seed * 1_000 + i));
+            out.add(new PriorityQueue<>(Comparator.comparingLong(Due::at)));
+            fleet.get(i).at(0, new ListChanged(ListMode.FULL, 2, warm));
+        }
+        int before = 2_000;
+        int steps = before + 3_400;
+        int[] sent = new int[steps];
+        long id = 0;
+        for (int step = 0; step < steps; step++) {
+            for (int i = 0; i < fronts; i++) {
+                Front f = fleet.get(i);
+                if (step == before) {
+                    if (i % 3 == 1) {
+                        Front again = Front.oneOf(fronts, seed * 2_000 + i);
+                        again.now = f.now;
+                        again.at(0, new ListChanged(ListMode.FULL, 2, warm));
+                        fleet.set(i, f = again);
+                        out.get(i).clear();
+                    }
+                    long born = f.now;
+                    f.at(0, new ListChanged(ListMode.DELTA, 3, LongStream.rangeClosed(2, 5)
+                            .mapToObj(s -> Front.line(s, false, born, Availability.READY)).toList()));
+                }
+                f.now += 5 * MS;
+                List<Event> events = new ArrayList<>();
+                for (Due due = out.get(i).peek(); due != null && due.at() <= f.now; due = out.get(i).peek()) {
+                    out.get(i).poll();
+                    events.add(new Answered(due.id(), due.store(), 0, true, Outcome.OK, workMs * MS, Role.UNKNOWN, 0, new float[0]));
+                }
+                double left = perStep * share[i] / all;
+                for (; random.nextDouble() < left; left -= 1) { // at most one or two in 5 ms
+                    events.add(request(++id, ANY, 0));
+                }
+                if (events.isEmpty()) {
+                    continue;
+                }
+                f.all.clear();
+                for (Transmit t : sends(f.at(0, events.toArray(Event[]::new)))) {
+                    sent[step] += t.store() == 2 ? 1 : 0;
+                    out.get(i).add(new Due(f.now + workMs * MS, t.id(), t.store()));
+                }
+                if (step % 40 == 0) {
+                    f.at(0, f.probe(1, 0, true));
+                }
+            }
+        }
+        int window = (int) (settings.rules().fallNs() / (5 * MS));
+        double worst = Double.NEGATIVE_INFINITY;
+        for (int from = before; from + window <= steps; from++) {
+            double age = (from - before) * 5.0 * MS / settings.rules().rampNs();
+            double part = Math.min(1, settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age);
+            double n = settings.rules().overloadFactor() * part * cores * window * 5 / workMs;
+            int got = Arrays.stream(sent, from, from + window).sum();
+            worst = Math.max(worst, got - (n + 2 * Math.sqrt(n) + 2));
+        }
+        return worst;
+    }
+
+    /** The sum of what all fronts send a cold store stays under N + 2 x root of N + 2, with no word among them. */
+    @Test
+    void noFleetOfAnySizePushesAColdStoreOver() {
+        for (int fronts : new int[] {3, 20, 30, 120}) {
+            for (long seed = 1; seed <= 5; seed++) {
+                double beyond = beyondChance(fronts, seed);
+                assertTrue(beyond < 0, fronts + " fronts, seed " + seed + ": " + beyond + " requests beyond chance");
+            }
+        }
+    }
 }
