Send a primary no read that counts on its role after a reset took its answer along

Now reads that need its role wait until it has said again that it leads: by any answer, or by the report of a probe that is sent at once. Writes go on, since a wrong server turns them away.

Test: aPrimaryWhoseAnswerWasLostTakesReadsOnceItHasSaidThatItLeads.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -112,8 +112,8 @@
         long known;
         /** Estimate only: how far behind it seems to be, and when that was last seen. */
         long lag, lagAt, nextTrial;
-        /** When an answer or a probe last said that it leads no longer. */
-        long deniedAt;
+        /** When an answer or a probe last said that it leads no longer, and when an answer last was lost. */
+        long deniedAt, unheardAt;
         int out;
         /** Connections of it that broke since its last answer. */
         int breaks;
@@ -124,7 +124,7 @@
         /** Whether it has ever answered or was in the first list: others must earn their place by a probe. */
         boolean proven, listedGone;
         boolean probing;
-        long probedAt, probedWellAt, queueAt;
+        long probedAt, provenAt, queueAt;
         /** Requests that waited there, of all fronts, by the last report. */
         double queue;
         /** How long answers take lately against the usual of their class, and at what load. */
@@ -501,7 +501,7 @@
 
     /** Whether the list and the age of its data allow a request to go to a store at this moment. */
     private boolean allowed(Open o, Store s) {
-        boolean fresh = checks || s == o.group.leader || s.known >= needed(o);
+        boolean fresh = checks || s == o.group.leader && s.unheardAt == 0 || s.known >= needed(o);
         boolean inScope = o.ran == null || o.type.effect() != Effect.DEDUPLICATED
                 || o.type.scope() != Scope.ZONE || s.zone == o.ran.store.zone;
         return s.group == o.group && s.listed() && fresh && inScope;
@@ -680,8 +680,12 @@
         Store s = a.store;
         if (e.role() == Role.PRIMARY) {
             leads(s, a.sentAt); // not when it came: what is on its way for long must not undo a newer denial
+            s.unheardAt = 0;
         } else if (e.role() == Role.REPLICA) {
             leadsNot(s, now);
+        } else if (e.outcome() == Outcome.RESET) {
+            s.unheardAt = now; // its answer may have gone with it, and what that told of the role counts
+            inspect(s, true);
         }
         if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // commits are rounded up
             s.known = Math.max(s.known, e.positionNs());
@@ -810,8 +814,7 @@
         s.load += FOLLOW * (outAtSend - s.load);
         // chosen by load at the send, never by the outcome: lucky answers alone would drag the figure down
         if (outAtSend <= FREE_SLOTS && s.queue < 1) {
-            p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples))
-                    * (latency - p.base);
+            p.base += Math.max(FOLLOW / 10, 1.0 / (GUESS_WEIGHT + ++p.samples)) * (latency - p.base);
             p.base = Math.min(p.base, BASE_MOST * o.type.onTimeNs());
         }
         carry = carry * Math.exp(-(now - carryAt) / CARRY_NS) + p.base / CARRY_NS;
@@ -835,8 +838,7 @@
             return false;
         }
         if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no use, whatever the others do
-            boolean probed = s.probedWellAt >= s.illAt || !settings.limits().probes();
-            return s.out == 0 && s.nextTrial <= now && probed;
+            return s.out == 0 && s.nextTrial <= now && (s.provenAt >= s.illAt || !settings.limits().probes());
         }
         long aim = o.arrived + o.type.onTimeNs();
         // a late request takes what is left over: it must not build a queue that makes others late too
@@ -913,8 +915,7 @@
         if (doubtful != null) {
             inspect(doubtful, !doubtful.proven);
         }
-        boolean worth = stalest != null && now - stalest.seenAt() >= 2 * PROBE_GAP_NS;
-        if (worth && probeTokens > PROBE_BURST / 2) {
+        if (stalest != null && now - stalest.seenAt() >= 2 * PROBE_GAP_NS && probeTokens > PROBE_BURST / 2) {
             inspect(stalest, false);
         }
     }
@@ -941,7 +942,7 @@
         if (e.outcome() == Outcome.OK) {
             s.proven = true;
             s.cut = false;
-            s.probedWellAt = now;
+            s.provenAt = now;
             reported(s, e.report(), false);
         } else if (e.outcome() == Outcome.RESET) {
             broke(s);
@@ -972,6 +973,7 @@
         if (primary) {
             reportAge += FOLLOW * (now - position - reportAge);
             leads(s, Math.max(position, 1));
+            s.unheardAt = position >= s.unheardAt ? 0 : s.unheardAt;
         } else if (!leads) {
             leadsNot(s, now - 2 * (long) reportAge);
             if (s.lagAt < now - reportAge) {
@@ -1032,8 +1034,6 @@
         }
         s.availability = Availability.GONE;
         s.group.members.remove(s);
-        if (s.group.leader == s) {
-            leadsNot(s, now);
-        }
+        leadsNot(s, now);
     }
 }
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -258,6 +258,26 @@
         }
     }
 
+    /** An answer that a reset took along may have told that the primary leads no longer; only writes may find out. */
+    @Test
+    void aPrimaryWhoseAnswerWasLostTakesReadsOnceItHasSaidThatItLeads() {
+        for (boolean byReport : new boolean[] {true, false}) {
+            Front f = caughtUp(Front.settings(Guards.OFF, true));
+            assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+            f.at(1, Front.request(2, Front.UNSAFE, 6));
+            assertTrue(asked(f.at(20, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0))).contains(1L), "it is asked");
+            assertEquals(0, Front.sentTo(f.at(1, Front.request(3, Front.OWN, 5))));
+            assertEquals(1, Front.sentTo(f.at(1, Front.request(4, Front.UNSAFE, 7))), "a write is turned away where it is wrong");
+            f.now += MS;
+            List<Action> told = f.at(0, byReport ? f.probe(1, 0, true) : f.answer(2, 0, 1, Outcome.OK, Role.PRIMARY, f.now));
+            assertEquals(1, Front.sentTo(told), "the read that waited");
+        }
+    }
+
+    private static List<Long> asked(List<Action> actions) {
+        return actions.stream().filter(Inspect.class::isInstance).map(a -> ((Inspect) a).store()).toList();
+    }
+
     /** Its answer may have been written and be on its way, or wait here to be read. */
     @Test
     void whileAWriteIsOutItsSessionReadsFromThePrimary() {
