Let a report put a primary's role in doubt too, and end the doubt by any word on its role

A report that its server does not lead was ignored where it might be older than the server's last word (leadsNot at now - 2 x reportAge). It may be newer: reads that need the role now wait until the primary has said again that it leads, as after a reset. Found by writing the test: the doubt of a reset stood for good at a replica, and was asked about at once only; now any answer that tells a role ends it, and who is in doubt is probed as long as it is.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -680,13 +680,11 @@
         Store s = a.store;
         if (e.role() == Role.PRIMARY) {
             leads(s, a.sentAt); // not when it came: what is on its way for long must not undo a newer denial
-            s.unheardAt = 0;
         } else if (e.role() == Role.REPLICA) {
             leadsNot(s, now);
-        } else if (e.outcome() == Outcome.RESET) {
-            s.unheardAt = now; // its answer may have gone with it, and what that told of the role counts
-            inspect(s, true);
         }
+        // an answer that a reset took along may have told of the role, and that counts as heard
+        s.unheardAt = e.role() != Role.UNKNOWN ? 0 : e.outcome() == Outcome.RESET ? now : s.unheardAt;
         if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // commits are rounded up
             s.known = Math.max(s.known, e.positionNs());
             if (e.role() == Role.REPLICA) {
@@ -906,7 +904,7 @@
         Store stalest = null;
         Store doubtful = null;
         for (Store s : g.members) {
-            if ((lost || s.ill || !s.proven) && s.nextTrial <= now) {
+            if ((lost || s.ill || !s.proven || s.unheardAt > 0) && s.nextTrial <= now) {
                 doubtful = doubtful == null || s.probedAt < doubtful.probedAt ? s : doubtful;
             } else if (s.listed() && !s.probing && (stalest == null || s.seenAt() < stalest.seenAt())) {
                 stalest = s;
@@ -964,9 +962,9 @@
         if (position > now) {
             return;
         }
-        double waiting = field(report, settings.inflightField()) - CORES;
         double full = field(report, settings.utilField()) > UTIL_FULL ? 1 : 0;
-        s.queue = Math.max(Math.max(full, waiting), field(report, settings.queueField()));
+        double excess = Math.max(full, field(report, settings.inflightField()) - CORES);
+        s.queue = Math.max(excess, field(report, settings.queueField()));
         s.queueAt = now;
         s.known = Math.max(s.known, position);
         boolean primary = settings.primaryField() >= 0 && report[settings.primaryField()] == 1f;
@@ -976,6 +974,7 @@
             s.unheardAt = position >= s.unheardAt ? 0 : s.unheardAt;
         } else if (!leads) {
             leadsNot(s, now - 2 * (long) reportAge);
+            s.unheardAt = s.group.leader == s ? now : 0; // older than its own word, or newer: it is asked
             if (s.lagAt < now - reportAge) {
                 sawLag(s, Math.max(0, now - position - (long) reportAge));
             }
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -258,19 +258,41 @@
         }
     }
 
-    /** An answer that a reset took along may have told that the primary leads no longer; only writes may find out. */
+    /** Reads that need the primary's role wait, a write goes, until it has said again that it leads. */
+    private static void isInDoubt(Front f, boolean byReport) {
+        List<Action> read = f.at(101, Front.request(3, Front.OWN, 5));
+        assertEquals(0, Front.sentTo(read));
+        assertTrue(asked(read).contains(1L), "it is asked");
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(4, Front.UNSAFE, 7))), "it is turned away where it is wrong");
+        f.now += MS;
+        f.at(0, f.probe(2, 10_000, false), f.probe(3, 10_000, false)); // who was asked as well is too far behind
+        List<Action> told = f.at(0, byReport ? f.probe(1, 0, true) : f.answer(4, 0, 1, Outcome.OK, Role.PRIMARY, f.now));
+        assertEquals(1, Front.sentTo(told), "the read that waited");
+    }
+
+    /** An answer that a reset took along may have told that the primary leads no longer, and that counts as heard. */
     @Test
     void aPrimaryWhoseAnswerWasLostTakesReadsOnceItHasSaidThatItLeads() {
         for (boolean byReport : new boolean[] {true, false}) {
             Front f = caughtUp(Front.settings(Guards.OFF, true));
             assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
-            f.at(1, Front.request(2, Front.UNSAFE, 6));
-            assertTrue(asked(f.at(20, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0))).contains(1L), "it is asked");
-            assertEquals(0, Front.sentTo(f.at(1, Front.request(3, Front.OWN, 5))));
-            assertEquals(1, Front.sentTo(f.at(1, Front.request(4, Front.UNSAFE, 7))), "a write is turned away where it is wrong");
-            f.now += MS;
-            List<Action> told = f.at(0, byReport ? f.probe(1, 0, true) : f.answer(2, 0, 1, Outcome.OK, Role.PRIMARY, f.now));
-            assertEquals(1, Front.sentTo(told), "the read that waited");
+            f.at(20, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0));
+            isInDoubt(f, byReport);
+        }
+    }
+
+    /** A report that it does not lead may be older than its last word, or newer: reports come late. */
+    @Test
+    void aPrimaryThatAReportDeniesTakesReadsOnceItHasSaidThatItLeads() {
+        for (boolean byReport : new boolean[] {true, false}) {
+            Front f = caughtUp(Front.settings(Guards.OFF, true));
+            for (int i = 0; i < 20; i++) {
+                f.at(10, f.probe(1, 300, true));
+            }
+            assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+            f.at(1, f.answer(1, 0, 1, Outcome.ERROR, Role.PRIMARY, 0));
+            f.at(100, f.probe(1, 300, false));
+            isInDoubt(f, byReport);
         }
     }
 
