Ask whether a send stands after its buffer is there, not before

ServerPool asked stands() and then waited up to 100 ms for a buffer (Buffers.take) before the bytes went out, while a bound counts from the last byte.

--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * One connection to a server: blocking, one request at a time. A channel rather than a Socket, because only a
@@ -52,20 +53,28 @@
         channel.socket().connect(address, (int) Math.max(1, Math.min(Integer.MAX_VALUE, Clock.millisUp(waitNs))));
     }
 
-    /** Writes these bytes, a usual query of them in one go; returns once the last byte is written. */
-    void send(List<ByteBuffer> parts) throws IOException {
+    /**
+     * Writes these bytes, a usual query of them in one go, if {@code stands} says so right before; whether it did, once the
+     * last byte is written. A buffer may be waited for, and is there before that is asked.
+     */
+    boolean send(List<ByteBuffer> parts, BooleanSupplier stands) throws IOException {
         int length = parts.stream().mapToInt(ByteBuffer::remaining).sum();
         if (length > Buffers.SIZE) {
-            for (ByteBuffer part : parts) {
+            boolean yes = stands.getAsBoolean();
+            for (ByteBuffer part : yes ? parts : List.<ByteBuffer>of()) {
                 write(part);
             }
-            return;
+            return yes;
         }
         byte[] buffer = buffers.take();
         try {
             ByteBuffer whole = ByteBuffer.wrap(buffer);
             parts.forEach(whole::put);
-            write(whole.flip());
+            boolean yes = stands.getAsBoolean();
+            if (yes) {
+                write(whole.flip());
+            }
+            return yes;
         } finally {
             buffers.give(buffer);
         }
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -82,12 +82,11 @@
                 }
             }
             attempt.connected();
-            if (!attempt.stands()) {
+            if (!connection.send(query, attempt::stands)) {
                 counters.count(Counter.SENDS_OUTDATED);
                 clean = attempt.complete();
                 return Reply.of(Outcome.MOOT);
             }
-            connection.send(query);
             attempt.written();
             Answer answer = connection.receive(form, deadlines);
             boolean uncut = attempt.complete();
@@ -141,7 +140,7 @@
         try {
             connection.connect(waitNs);
             connection.send(List.of(new Message(new byte[OWN_MESSAGES]).beginUntyped().put(Message.PROTOCOL_3).put("user")
-                    .put("holdmux").put("database").put("crm").put('\0').end().bytes()));
+                    .put("holdmux").put("database").put("crm").put('\0').end().bytes()), () -> true);
             Answer greeting = connection.receive(form, deadlines);
             buffers.give(greeting.buffer);
             return greeting.sqlState();
