Let a refused operators' call hear its no over an unread body

ManagementServer closed over what it had not read, which is a reset. It ends its output and reads the rest for 100 ms. Watch and ManagementServer share TimedInput, one bound for a whole answer or call. Test: aNoIsHeardThoughALongBodyStandsBehindIt.

--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -2,16 +2,15 @@
 
 import holdmux.config.ConfigException;
 import holdmux.config.HostList;
-import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
+import holdmux.core.TimedInput;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -118,11 +117,11 @@
 
     /** Calls over one connection until it ends; its last answer may close it in good order. */
     private void follow(Socket socket, InetSocketAddress at) throws IOException {
-        CallInput bounded = new CallInput(socket);
-        InputStream in = new BufferedInputStream(bounded);
+        TimedInput timed = new TimedInput(socket, 0);
+        InputStream in = new BufferedInputStream(timed);
         boolean open = true;
         while (open) {
-            bounded.within(patienceMs(begins, failures));
+            timed.within(patienceMs(begins, failures));
             socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
             HttpResponse response = HttpResponse.read(in);
             if (response.status() != 200) {
@@ -188,36 +187,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /** The input of one connection, with one bound for all of a call's answer: half an answer is no sign of life. */
-    private static final class CallInput extends InputStream {
-        private final Socket socket;
-        private final InputStream in;
-        private long by;
-
-        CallInput(Socket socket) throws IOException {
-            this.socket = socket;
-            in = socket.getInputStream();
-        }
-
-        void within(int ms) {
-            by = System.nanoTime() + ms * Clock.MS;
-        }
-
-        @Override
-        public int read() throws IOException {
-            byte[] one = new byte[1];
-            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-        }
-
-        @Override
-        public int read(byte[] into, int at, int length) throws IOException {
-            long left = by - System.nanoTime();
-            if (left <= 0) {
-                throw new SocketTimeoutException("the answer was not whole in time");
-            }
-            socket.setSoTimeout((int) Clock.millisUp(left));
-            return in.read(into, at, length);
-        }
-    }
 }
--- a/pooler/src/main/java/holdmux/management/ManagementServer.java
+++ b/pooler/src/main/java/holdmux/management/ManagementServer.java
@@ -3,6 +3,7 @@
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
+import holdmux.core.TimedInput;
 import holdmux.core.Workers;
 import holdmux.discovery.HttpHead;
 import java.io.BufferedInputStream;
@@ -11,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
@@ -26,6 +28,8 @@
     private static final int MOST_CALLS = 16;
     /** A call must be whole within this; its caller waits 1 s. */
     private static final int CALL_MS = 2_000;
+    /** How long a caller is waited for that does not close by itself behind its answer. */
+    private static final int LINGER_MS = 100;
     /** After a failed accept or bind: soon enough for an operator. */
     private static final int AGAIN_MS = 200;
     /** No call needs a body; one within this is read and passed over, so that the answer is not cut off by it. */
@@ -95,12 +99,13 @@
     private void call(Socket socket) {
         try {
             socket.setTcpNoDelay(true);
-            Result result = heard(new BufferedInputStream(new Timed(socket)));
+            Result result = heard(new BufferedInputStream(new TimedInput(socket, CALL_MS)));
             counters.count(result.status < 300 ? Counter.MANAGEMENT_CALLS : Counter.MANAGEMENT_REFUSED);
             String body = "{\"status\":\"" + result.words + "\"}\n";
             socket.getOutputStream().write(("HTTP/1.1 " + result.status + " " + reason(result.status)
                     + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                     + "\r\nConnection: close\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+            linger(socket);
         } catch (IOException e) {
             counters.count(Counter.MANAGEMENT_REFUSED); // the caller has gone, or never finished its call
         } finally {
@@ -108,6 +113,20 @@
         }
     }
 
+    /** Ends the output and reads out what is left of a call that was refused: a close over it would take the answer along. */
+    private static void linger(Socket socket) {
+        byte[] sink = new byte[1_024];
+        try {
+            socket.shutdownOutput();
+            InputStream rest = new TimedInput(socket, LINGER_MS);
+            while (rest.read(sink) >= 0) {
+                // dropped
+            }
+        } catch (IOException e) {
+            // it has had its time, or has gone
+        }
+    }
+
     private Result heard(InputStream in) throws IOException {
         try {
             HttpHead head = HttpHead.read(in);
@@ -121,7 +140,7 @@
             }
             in.skipNBytes(body);
             return answer(parts[0], path(parts[1]));
-        } catch (Unfinished e) {
+        } catch (SocketTimeoutException e) {
             return new Result(408, "the call was not whole in time");
         } catch (IOException | URISyntaxException e) {
             return new Result(400, "the call cannot be read");
@@ -191,41 +210,4 @@
             // closing is all that was wanted
         }
     }
-
-    /** The call was not whole in time. */
-    private static final class Unfinished extends IOException {
-        private static final long serialVersionUID = 1L;
-    }
-
-    /** What comes within the time of one call, however often a byte of it drops in. */
-    private static final class Timed extends InputStream {
-        private final Socket socket;
-        private final InputStream in;
-        private final long by = System.nanoTime() + CALL_MS * 1_000_000L;
-
-        Timed(Socket socket) throws IOException {
-            this.socket = socket;
-            in = socket.getInputStream();
-        }
-
-        @Override
-        public int read() throws IOException {
-            byte[] one = new byte[1];
-            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-        }
-
-        @Override
-        public int read(byte[] into, int from, int length) throws IOException {
-            long left = (by - System.nanoTime()) / 1_000_000L;
-            if (left <= 0) {
-                throw new Unfinished();
-            }
-            socket.setSoTimeout((int) left);
-            try {
-                return in.read(into, from, length);
-            } catch (java.net.SocketTimeoutException e) {
-                throw new Unfinished();
-            }
-        }
-    }
 }
--- a/pooler/src/test/java/holdmux/management/ManagementServerTest.java
+++ b/pooler/src/test/java/holdmux/management/ManagementServerTest.java
@@ -104,6 +104,12 @@
         assertEquals(503, call(call));
     }
 
+    /** A close over what it still sends is a reset, and took the no along. */
+    @Test
+    void aNoIsHeardThoughALongBodyStandsBehindIt() throws Exception {
+        assertEquals(413, call("PUT /api/evacuate HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + "x".repeat(300_000)));
+    }
+
     @Test
     void aCallThatIsNoneGetsItsNo() throws Exception {
         assertEquals(404, put("exclude/s-9"), "an unknown server");
