Refuse settings that contradict themselves by their key's path

Two classes of one name, a cold share that is none, negative times and windows were taken. Also a test that no deployment's class, zone or machine is named in the program or its deploy file.

--- a/pooler/src/main/java/holdmux/config/SettingsReader.java
+++ b/pooler/src/main/java/holdmux/config/SettingsReader.java
@@ -89,7 +89,11 @@
         int classes = (int) atLeast("request-classes.count", 1);
         List<String> names = new ArrayList<>();
         for (int i = 0; i < classes; i++) {
-            names.add(text("request-classes." + i + ".name"));
+            String at = "request-classes." + i + ".name";
+            if (names.contains(text(at))) {
+                throw new ConfigException("settings: " + at + " is " + text(at) + ", as an earlier class is");
+            }
+            names.add(text(at));
         }
         return new Deployment(settings(), List.copyOf(names), list("zones", ""), list("skus", ""),
                 list("report.fields", ""), atLeast("allowed.conn-idle-ns", 1),
@@ -124,7 +128,7 @@
                     atLeast(at + "deadline-ns", 1), real(at + "worth", 1), real(at + "late-worth", 0),
                     constant(Effect.class, at + "effect", text(at + "effect")),
                     constant(Scope.class, at + "dedup-scope", get(at + "dedup-scope", "all")),
-                    number(at + "window-ns", 0)));
+                    atLeast(at + "window-ns", 0, 0)));
         }
         return List.copyOf(classes);
     }
@@ -138,9 +142,13 @@
     }
 
     private Rules rules() {
-        return new Rules(number("guarantees.answer-slack-ns"), number("guarantees.drain-grace-ns"),
-                real("guarantees.cold-share", 1), number("guarantees.ramp-time-ns"),
-                real("guarantees.overload-factor", 1), number("guarantees.fall-ns"),
+        double coldShare = real("guarantees.cold-share", 1);
+        if (!(coldShare >= 0 && coldShare <= 1)) {
+            throw new ConfigException("settings: guarantees.cold-share is " + coldShare + ", no part of a whole");
+        }
+        return new Rules(atLeast("guarantees.answer-slack-ns", 0), atLeast("guarantees.drain-grace-ns", 0),
+                coldShare, atLeast("guarantees.ramp-time-ns", 0),
+                real("guarantees.overload-factor", 1), atLeast("guarantees.fall-ns", 0),
                 flag("guarantees.gone-is-advice"), number("guarantees.ask-every-ns", 0));
     }
 
@@ -183,6 +191,10 @@
         return value;
     }
 
+    private long atLeast(String key, long least, long absent) {
+        return values.containsKey(key) ? atLeast(key, least) : absent;
+    }
+
     private static long parse(String key, String value) {
         try {
             return Long.parseLong(value);
--- a/pooler/src/test/java/holdmux/config/ConfigTest.java
+++ b/pooler/src/test/java/holdmux/config/ConfigTest.java
@@ -12,8 +12,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -95,6 +97,38 @@
         assertEquals(List.of("save-quote"), config.reload(env).deployment().classes(), "a class may go");
     }
 
+    /** What contradicts itself is refused whole, by the path of its key, at a start as at SIGHUP. */
+    @Test
+    void settingsThatContradictThemselvesAreRefusedByTheirKey() {
+        Map<String, String> wrong = Map.of("\"name\":\"save-quote\"", "request-classes.1.name|\"name\":\"my-quotes\"",
+                "\"cold-share\":0.15", "guarantees.cold-share|\"cold-share\":1.5",
+                "\"ramp-time-ns\":13000000000", "guarantees.ramp-time-ns|\"ramp-time-ns\":-1",
+                "\"consistency\":[\"session\",\"write\"]", "2 classes, but 1|\"consistency\":[\"session\"]",
+                "\"effect\":\"idempotent\"", "request-classes.0.window-ns|\"effect\":\"idempotent\",\"window-ns\":-5");
+        wrong.forEach((was, then) -> {
+            assertTrue(sample().contains(was), was);
+            String text = sample().replace(was, then.substring(then.indexOf('|') + 1));
+            String said = assertThrows(ConfigException.class, () -> Config.decode(text, Map.of(), 0, false)).getMessage();
+            assertTrue(said.contains(then.substring(0, then.indexOf('|'))), said);
+        });
+    }
+
+    /** No name of a deployment stands in the program or in its deploy file. */
+    @Test
+    void theProgramNamesNoDeployment() throws IOException {
+        List<String> names = List.of("rate-lookup", "my-quotes", "\"history\"", "quote-check", "save-quote", "kingston", "spanish-town",
+                "std-4core", "quote-db", "valpadana", "rennes", "clip-write", "record-change");
+        List<Path> all = new ArrayList<>(List.of(Path.of("../deploy/balancer.toml")));
+        try (Stream<Path> sources = Files.walk(Path.of("src/main/java"))) {
+            sources.filter(Files::isRegularFile).forEach(all::add);
+        }
+        assertTrue(all.size() > 50);
+        for (Path file : all) {
+            String text = Files.readString(file);
+            names.forEach(name -> assertFalse(text.contains(name), file + " names " + name));
+        }
+    }
+
     /** A list of 1,024 servers, indented, with the longest names there are. */
     public static JSONObject longList() {
         String name = "s".repeat(249);
