Restore what shortened tests no longer forced; test full descriptors and foreign settings

New: discovery heard at its return though 700 idle clients fill the pooler, settings of which every name and figure differs, and no listener after SIGTERM during a start (ServeTest).

--- a/app/src/test/java/holdmux/app/drill/PlatformTest.java
+++ b/app/src/test/java/holdmux/app/drill/PlatformTest.java
@@ -1,12 +1,17 @@
 package holdmux.app.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.app.demo.PgClient;
 import holdmux.app.demo.QuoteClient.Ending;
+import holdmux.config.Config;
 import holdmux.standins.Fault;
+import holdmux.standins.FaultRelay;
 import holdmux.standins.StandIns;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,7 +25,10 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.json.JSONArray;
+import org.json.JSONObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +39,9 @@
 @Timeout(120)
 class PlatformTest {
     private static final int SERVERS = 1_024, OF_A_GROUP = 6, MEMORY_MB = 192, SOCKETS = 1_024, CLIENTS = 8, REQUESTS = 300;
+    /** More than a pooler may hold: half of its descriptors are for clients. */
+    private static final int IDLE = 700;
+    private static final long END_NS = 10_000_000_000L;
 
     @TempDir
     Path folder;
@@ -46,8 +57,15 @@
     }
 
     private void start() throws Exception {
+        start(config -> { });
+    }
+
+    /** {@code change}: what this pooler is told otherwise. */
+    private void start(Consumer<JSONObject> change) throws Exception {
         int port = StandIns.freePort();
-        pooler = new PoolerProcess("p", port, folder, fleet.config(port, MEMORY_MB, SOCKETS), List.of());
+        JSONObject config = new JSONObject(fleet.config(port, MEMORY_MB, SOCKETS));
+        change.accept(config);
+        pooler = new PoolerProcess("p", port, folder, config.toString(), List.of());
         String deploy = Files.readString(Path.of("..", "deploy", "balancer.toml"));
         int flags = deploy.indexOf("run = \"exec java ") + 17;
         pooler.machine(List.of(deploy.substring(flags, deploy.indexOf(" -cp ", flags)).split(" ")));
@@ -89,13 +107,27 @@
         String peak = Files.readAllLines(system.resolve("status")).stream().filter(line -> line.startsWith("VmHWM"))
                 .findFirst().orElseThrow();
         assertTrue(Long.parseLong(peak.replaceAll("\\D", "")) < MEMORY_MB * 1_024, peak);
+        assertEquals(0, counter("over_capacity"));
+        assertEquals(0, counter("lists_refused"));
+        pooler.signal("TERM");
+        awaitEnd();
+        assertTrue(Files.readAllLines(folder.resolve("log")).stream().noneMatch(line -> line.startsWith("error")));
+    }
+
+    private long counter(String name) throws Exception {
         Map<String, String> counters = new HashMap<>();
         try (PgClient client = pooler.talk()) {
             client.query("SHOW STATS", counters);
         }
-        assertEquals("0", counters.get("over_capacity"));
-        assertEquals("0", counters.get("lists_refused"));
-        assertTrue(Files.readAllLines(folder.resolve("log")).stream().noneMatch(line -> line.startsWith("error")));
+        return Long.parseLong(counters.get(name));
+    }
+
+    private void awaitEnd() throws InterruptedException {
+        long by = System.nanoTime() + END_NS;
+        while (pooler.isAlive() && System.nanoTime() < by) {
+            Thread.sleep(10);
+        }
+        assertFalse(pooler.isAlive(), "it does not end");
     }
 
     /** Lists every so many servers from one on: the first of each group is played by the primary, the others by a replica. */
@@ -146,9 +178,7 @@
         for (Future<String> read : told.subList(1, told.size())) {
             assertTrue(List.of("53300", "57P03").contains(read.get()), read.get());
         }
-        while (pooler.isAlive()) {
-            Thread.sleep(10); // and then it ends
-        }
+        awaitEnd();
     }
 
     /** Asks for what every server hangs on, a write where the id says so; the SQLSTATE of its answer. */
@@ -157,4 +187,57 @@
         Callable<String> asks = () -> client.query(sql(id.equals("w"), id, 1), new HashMap<>());
         return threads.submit(asks);
     }
+
+    /** However many idle clients come while discovery is down: its connection has a descriptor when it is back. */
+    @Test
+    void discoveryIsHeardAtItsReturnThoughIdleClientsFillThePooler() throws Exception {
+        InetSocketAddress agent = Config.address(new JSONObject(fleet.config(1, 1, 1)).getString("discovery"));
+        List<Socket> idle = new ArrayList<>();
+        try (FaultRelay discovery = new FaultRelay(agent)) {
+            discovery.set(FaultRelay.Mode.RESET);
+            start(config -> config.put("discovery", "127.0.0.1:" + discovery.address().getPort()));
+            for (int i = 0; i < IDLE; i++) {
+                idle.add(new Socket("127.0.0.1", pooler.port));
+            }
+            assertEquals(1, counter("lists_taken"), "the one it was given at its start");
+            fleet.list("s-2", "draining");
+            discovery.set(FaultRelay.Mode.PASS);
+            Thread.sleep(2_500); // the longest pause and a first call, several times over
+            assertTrue(counter("lists_taken") > 1);
+        } finally {
+            for (Socket socket : idle) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Nothing is fitted to one customer: another one's names and figures, none of them the same, are served alike. */
+    @Test
+    void settingsOfWhichEveryNameAndFigureDiffersAreServed() throws Exception {
+        start(config -> {
+            JSONObject settings = config.getJSONObject("settings");
+            settings.put("zones", List.of("quayside")).put("skus", List.of("other")).put("step-ns", 3_000_000)
+                    .put("balancers", 7).put("over-share-worth", 0.45);
+            settings.getJSONObject("allowed").put("conn-idle-ns", 4_000_000_000L).put("connect-timeout-ns", 170_000_000)
+                    .put("max-attempts", 2).put("max-retry-after-ns", 90_000_000).put("may-duplicate", false);
+            settings.getJSONObject("guarantees").put("answer-slack-ns", 11_000_000).put("cold-share", 0.3)
+                    .put("drain-grace-ns", 250_000_000).put("fall-ns", 2_700_000_000L).put("overload-factor", 4)
+                    .put("ramp-time-ns", 6_000_000_000L);
+            JSONArray classes = settings.getJSONArray("request-classes");
+            for (int i = 0; i < classes.length(); i++) {
+                classes.getJSONObject(i).put("name", "kind-" + i).put("worth", 10 - i).put("late-worth", 0.05 * i)
+                        .put("on-time-ns", 210_000_000 + i * 10_000_000).put("deadline-ns", 700_000_000 + i * 30_000_000)
+                        .put("effect", i == 4 ? "deduplicated" : i == 2 ? "at_most_once" : "idempotent")
+                        .put("dedup-scope", "zone").put("window-ns", 90_000_000);
+            }
+            settings.getJSONObject("family-info").put("class-bound-ns", List.of(770_000_000, 0, 0, 0, 0));
+        });
+        try (PgClient client = new PgClient(pooler.port, 10_000)) {
+            for (int i = 0; i < 5; i++) {
+                String sql = sql(i == 4, "o" + i, 1).replaceAll("c=[a-z-]+,d=\\d+", "c=kind-" + i + ",d=650");
+                assertEquals("", client.query(sql, new HashMap<>()), sql);
+            }
+            assertEquals("22023", client.query(sql(false, "old", 1), new HashMap<>()), "a class of the other customer");
+        }
+    }
 }
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -7,6 +7,7 @@
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
+import holdmux.core.Front;
 import holdmux.core.Fronts;
 import holdmux.core.Log;
 import holdmux.core.Part;
@@ -108,12 +109,12 @@
     }
 
     /** A process that was told to end during its start takes nobody in: whoever came would be cut off by its exit. */
-    private static void listen(Fronts fronts, AtomicBoolean ending) throws IOException, InterruptedException {
+    static void listen(Front front, AtomicBoolean ending) throws IOException, InterruptedException {
         if (ending.get()) {
             Log.info("told to end before it listened");
             Thread.currentThread().join(); // for ever: the drain ends the process
         }
-        fronts.listen();
+        front.listen();
     }
 
     /** One part of a start; may block. */
--- a/pooler/src/test/java/holdmux/DrainTest.java
+++ b/pooler/src/test/java/holdmux/DrainTest.java
@@ -16,8 +16,14 @@
 
     /** When the process ends whose client has its answer at a time or, if it heeds that, once it is given up. */
     private long end(long longestMs, long answeredAt, boolean heeds) throws InterruptedException {
+        return end(longestMs, answeredAt, heeds, NEVER);
+    }
+
+    /** {@code closedAt}: when its connection has ended by itself. */
+    private long end(long longestMs, long answeredAt, boolean heeds, long closedAt) throws InterruptedException {
         now = 0;
-        gaveUpAt = closesAt = NEVER;
+        gaveUpAt = NEVER;
+        closesAt = closedAt;
         Front front = (Front) Proxy.newProxyInstance(Front.class.getClassLoader(), new Class<?>[] {Front.class},
                 (proxy, method, args) -> {
                     switch (method.getName()) {
@@ -63,4 +69,9 @@
         assertTrue(end(3_000, 4_500, false) >= 4_500);
         assertTrue(end(3_000, NEVER, false) < 15_000);
     }
+
+    @Test
+    void itEndsAtOnceWhenNobodyIsLeft() throws InterruptedException {
+        assertEquals(600, end(3_000, -1, false, 0));
+    }
 }
--- a/pooler/src/test/java/holdmux/ServeTest.java
+++ b/pooler/src/test/java/holdmux/ServeTest.java
@@ -1,12 +1,15 @@
 package holdmux;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.config.ConfigTest;
+import holdmux.core.Front;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -165,6 +169,19 @@
         assertEquals(List.of("warm", "heard", "listens"), done);
     }
 
+    /** SIGTERM between the first line and the listener: who connected then was cut off by the exit. */
+    @Test
+    void whoIsToldToEndDuringItsStartDoesNotListen() throws Exception {
+        List<String> done = new ArrayList<>();
+        Front front = (Front) Proxy.newProxyInstance(Front.class.getClassLoader(), new Class<?>[] {Front.class},
+                (proxy, method, args) -> done.add(method.getName()) ? null : null);
+        Thread.currentThread().interrupt(); // the drain ends the process that this waits for
+        assertThrows(InterruptedException.class, () -> Serve.listen(front, new AtomicBoolean(true)));
+        assertEquals(List.of(), done);
+        Serve.listen(front, new AtomicBoolean(false));
+        assertEquals(List.of("listen"), done);
+    }
+
     private static void hangUp(Process pooler) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(pooler.pid())).start().waitFor());
     }
