--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -827,6 +827,27 @@
         }
     }
 
+    /** What a client has still to take when its connection ends lies in the kernel, and a reset throws it away. */
+    @Test
+    void anAnswerThatIsStillOnItsWayOutlivesTheClose() throws Exception {
+        String value = "v".repeat(30_000);
+        script = m -> AnswerTest.row(m, value).readyForQuery();
+        try (Socket client = new Socket()) {
+            client.setReceiveBufferSize(4_096);
+            client.connect(config.listen());
+            send(client, m -> {
+                startup(m);
+                query(m, WRITE);
+                m.begin('P').put("extended").end();
+            });
+            client.getOutputStream().write(new byte[100_000]);
+            awaitOneMore(Counter.BAD_INPUT, 0);
+            pause(50); // the close is on its way
+            String told = toTheEnd(client);
+            assertTrue(told.contains(value) && told.contains("0A000"), told.length() + " bytes were told");
+        }
+    }
+
     /** A request that is read after the connection's end began must not be sent on: nobody could be told how it went. */
     @Test
     void whatComesAfterTheEndIsNeverSentOn() throws Exception {
