Take back that a session reads from the primary while a write of it is out

Keys are hot: a session with a write under way nearly always has all its reads pushed onto the primary, and they are refused there.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -82,11 +82,10 @@
 
     private enum Verdict { NONE, ANY, ALL }
 
-    /** One session of a group: its token (0 is none), its replica, how many of its writes are out. */
+    /** What this front knows of one session of a group; a token of 0 is none. */
     private static final class Session {
         long token;
         Store replica;
-        int writing;
     }
 
     private static final class Group {
@@ -208,7 +207,7 @@
         }
     }
 
-    private record Attempt(Store store, long sentAt, long needed, int load, double work, Session writer) {}
+    private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
 
     private Settings settings;
     private boolean checks;
@@ -376,10 +375,8 @@
         return s != null && inspect(s, true);
     }
 
-    /** What a session must see; the answer of a write that is out may have been written already. */
     private long token(Open o, Session session) {
-        long own = session == null ? 0 : session.writing > 0 ? now : session.token;
-        return settings.remembered() ? own : o.tokenPosition;
+        return !settings.remembered() ? o.tokenPosition : session == null ? 0 : session.token;
     }
 
     private Verdict verdict(Group group, long token) {
@@ -484,9 +481,7 @@
             return false;
         }
         s.coldLevel += o.pace.base;
-        Session writer = o.writes ? remember(o.group, o.session) : new Session();
-        writer.writing++;
-        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base, writer);
+        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base);
         o.attempts.add(attempt);
         o.inFlight++;
         s.out++;
@@ -691,7 +686,6 @@
                 sawLag(s, Math.max(0, now - e.positionNs()));
             }
         }
-        a.writer.writing--;
         if (o.writes && !e.outcome().neverRan) {
             Session session = remember(o.group, o.session);
             boolean told = e.outcome() == Outcome.OK && e.positionNs() > 0;
@@ -742,7 +736,7 @@
             case OK -> {
                 answeredWell(s);
                 if (a.sentAt > stalledAt) {
-                    pace(s, o, e.latencyNs(), a.load);
+                    pace(s, o, e.latencyNs(), a.outAtSend);
                 }
                 s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
