--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -69,6 +69,8 @@
     /** What no store has been given is not held beyond this part of its time: by measure a tenth, time for a
      * probe's word; longer only crowds. What is worth more late than this is held on: it has the chance. */
     private static final double HOLD_PART = 0.1, LATE_ENOUGH = 0.3;
+    /** What an answer tells counts as known 100 ms after it was written, read or not; less a send's way. */
+    private static final long KNOWN_NS = 75 * MS;
     /** Kept clear of the end of a dedup window: the way to the store and its clock take time. */
     private static final long WINDOW_MARGIN_NS = 50 * MS;
     /** A list call that failed is made again after this, and up to as much again by chance. */
@@ -82,9 +84,9 @@
 
     private enum Verdict { NONE, ANY, ALL }
 
-    /** What this front knows of one session of a group; a token of 0 is none. */
+    /** A session of a group: its token (0 is none), its replica, writes that are out and since when. */
     private static final class Session {
-        long token;
+        long token, writing, writingSince;
         Store replica;
     }
 
@@ -163,8 +165,7 @@
         final Pace pace;
         final Group group;
         final long session, arrived, deadline, giveUpAt, holdUntil, tokenPosition;
-        /** Whether its session must see what it wrote. */
-        final boolean writes;
+        final boolean bindsSession;
         final List<Attempt> attempts = new ArrayList<>(2);
         final BitSet ended = new BitSet(), retracted = new BitSet();
         int inFlight, misses, asked;
@@ -180,7 +181,7 @@
             this.pace = pace;
             this.group = group;
             session = a.session();
-            writes = type.consistency() == Consistency.WRITE && settings.remembered() && session != 0;
+            bindsSession = type.consistency() == Consistency.WRITE && settings.remembered() && session != 0;
             arrived = now;
             deadline = now + a.remainingNs();
             long slack = settings.stepNs() + MS;
@@ -207,7 +208,7 @@
         }
     }
 
-    private record Attempt(Store store, long sentAt, long needed, int outAtSend, double work) {}
+    private record Attempt(Store store, long sentAt, long needed, int load, double work, Session writer) {}
 
     private Settings settings;
     private boolean checks;
@@ -375,8 +376,11 @@
         return s != null && inspect(s, true);
     }
 
+    /** What a session must see. The answer of a write that is out may be on its way, and counts so. */
     private long token(Open o, Session session) {
-        return !settings.remembered() ? o.tokenPosition : session == null ? 0 : session.token;
+        boolean told = session != null && session.writing > 0 && now - session.writingSince > KNOWN_NS;
+        long own = session == null ? 0 : Math.max(session.token, told ? now - KNOWN_NS : 0);
+        return settings.remembered() ? own : o.tokenPosition;
     }
 
     private Verdict verdict(Group group, long token) {
@@ -481,7 +485,9 @@
             return false;
         }
         s.coldLevel += o.pace.base;
-        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base);
+        Session writer = o.bindsSession ? remember(o.group, o.session) : new Session();
+        writer.writingSince = writer.writing++ == 0 ? now : writer.writingSince;
+        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base, writer);
         o.attempts.add(attempt);
         o.inFlight++;
         s.out++;
@@ -686,7 +692,8 @@
                 sawLag(s, Math.max(0, now - e.positionNs()));
             }
         }
-        if (o.writes && !e.outcome().neverRan) {
+        a.writer.writing--;
+        if (o.bindsSession && !e.outcome().neverRan) {
             Session session = remember(o.group, o.session);
             boolean told = e.outcome() == Outcome.OK && e.positionNs() > 0;
             // where its answer was not heard it may have taken effect, and been told, up to now
@@ -736,7 +743,7 @@
             case OK -> {
                 answeredWell(s);
                 if (a.sentAt > stalledAt) {
-                    pace(s, o, e.latencyNs(), a.outAtSend);
+                    pace(s, o, e.latencyNs(), a.load);
                 }
                 s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -300,6 +300,26 @@
         return actions.stream().filter(Inspect.class::isInstance).map(a -> ((Inspect) a).store()).toList();
     }
 
+    /**
+     * What an answer tells counts as known 100 ms after it was written, also while it is held up on its way to us: reads
+     * went to replicas that did not have the write yet.
+     */
+    @Test
+    void theAnswerOfAWriteThatIsOutCountsAsHeardInTime() {
+        Front f = caughtUp(Front.settings(Guards.OFF, true));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        assertTrue(Front.sentTo(f.at(70, Front.request(2, Front.OWN, 5))) > 1, "it cannot have been told 100 ms ago");
+        f.now += 60 * MS;
+        f.at(0, f.probe(1, 0, true));
+        assertTrue(f.sentWhenAsked(0, Front.request(3, Front.OWN, 5)) <= 1, "its replicas stood before the write when last heard");
+        assertTrue(f.sentWhenAsked(0, Front.request(4, Front.OWN, 6)) > 1, "another session's read");
+        f.at(0, f.probe(2, 50, false), f.probe(3, 50, false));
+        long replica = f.sentWhenAsked(1, Front.request(5, Front.OWN, 5));
+        assertTrue(replica > 1, "whatever was told 100 ms ago is there");
+        assertTrue(f.splitter.stands(f.now, 5, 0));
+        assertFalse(f.splitter.stands(f.now + 60 * MS, 5, 0), "not when its connection has come up late");
+    }
+
     /** The window counts from the first attempt's send to the last byte of a repeat, whose connection may come up late. */
     @Test
     void aRepeatDoesNotStandOnceTheWindowIsOver() {
