--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -14,12 +14,8 @@
 public final class ReadWriteSplitter {
     private static final long MS = 1_000_000L;
 
-    /** The soonest that a timer is set for, in steps of the wire. */
-    private static final int TICK_STEPS = 2;
     /** Held requests are looked at again after this part of their wait so far; answers wake them too. */
     private static final long LOOK_AGAIN = 4;
-    /** A timer later than this shows that this front itself stood still: far beyond any batch. */
-    private static final long STALL_NS = 100 * MS;
     /** How long a reported queue is held to be true, in tightest aims; it drains in a few service times. */
     private static final double QUEUE_AIMS = 5.0 / 3;
     /** Probes for each request that comes in: their price stays below what stale reports cost. */
@@ -113,8 +109,8 @@
         long known;
         /** Estimate only: how far behind it seems to be, and when that was last seen. */
         long lag, lagAt, nextTrial;
-        /** When an answer or a probe last said that it leads no longer, and when an answer last was lost. */
-        long deniedAt, unheardAt;
+        /** When an answer or a probe last denied that it leads; since when its role is in doubt, 0 if not. */
+        long deniedAt, doubtedAt;
         int out;
         /** Connections of it that broke since its last answer. */
         int breaks;
@@ -125,7 +121,7 @@
         /** Whether it has ever answered or was in the first list: others must earn their place by a probe. */
         boolean proven, listedGone;
         boolean probing;
-        long probedAt, provenAt, queueAt;
+        long probedAt, wellAt, queueAt;
         /** Requests that waited there, of all fronts, by the last report. */
         double queue;
         /** How long answers take lately against the usual of their class, and at what load. */
@@ -208,10 +204,10 @@
         }
     }
 
-    private record Attempt(Store store, long sentAt, long needed, int load, double work, Session writer) {}
+    private record Attempt(Store store, long sentAt, long needed, int outThen, double work, Session owner) {}
 
     private Settings settings;
-    private boolean checks;
+    private boolean checks, rolesTold;
     private final SplittableRandom random;
     private final Map<Long, Store> stores = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
@@ -243,7 +239,7 @@
     private void adopt(Settings settings, List<Integer> was) {
         this.settings = settings;
         checks = settings.guards() != Guards.OFF;
-        tick = TICK_STEPS * settings.stepNs();
+        tick = 2 * settings.stepNs(); // the soonest that a timer is set for, in steps of the wire
         long aim = settings.classes().stream().mapToLong(RequestClass::onTimeNs).min().orElseThrow();
         silentLeast = (long) (SILENT_AIMS * aim);
         restFirst = (long) (REST_AIMS * aim);
@@ -266,7 +262,7 @@
         this.sink = sink;
         boolean due = now >= wakeAt;
         if (due) {
-            stalledAt = now - wakeAt > STALL_NS ? now : stalledAt;
+            stalledAt = now - wakeAt > 100 * MS ? now : stalledAt; // beyond any batch: it stood still itself
             wakeAt = Long.MAX_VALUE;
         }
         for (Event event : events) {
@@ -485,9 +481,9 @@
             return false;
         }
         s.coldLevel += o.pace.base;
-        Session writer = o.bindsSession ? remember(o.group, o.session) : new Session();
-        writer.writingSince = writer.writing++ == 0 ? now : writer.writingSince;
-        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base, writer);
+        Session owner = o.bindsSession ? remember(o.group, o.session) : new Session();
+        owner.writingSince = owner.writing++ == 0 ? now : owner.writingSince;
+        Attempt attempt = new Attempt(s, now, needed(o), s.out + 1, o.pace.base, owner);
         o.attempts.add(attempt);
         o.inFlight++;
         s.out++;
@@ -502,7 +498,7 @@
 
     /** Whether the list and the age of its data allow a request to go to a store at this moment. */
     private boolean allowed(Open o, Store s) {
-        boolean fresh = checks || s == o.group.leader && s.unheardAt == 0 || s.known >= needed(o);
+        boolean fresh = checks || s == o.group.leader && s.doubtedAt == 0 || s.known >= needed(o);
         boolean inScope = o.ran == null || o.type.effect() != Effect.DEDUPLICATED
                 || o.type.scope() != Scope.ZONE || s.zone == o.ran.store.zone;
         return s.group == o.group && s.listed() && fresh && inScope;
@@ -684,15 +680,17 @@
         } else if (e.role() == Role.REPLICA) {
             leadsNot(s, now);
         }
+        rolesTold |= e.role() != Role.UNKNOWN;
         // an answer that a reset took along may have told of the role, and that counts as heard
-        s.unheardAt = e.role() != Role.UNKNOWN ? 0 : e.outcome() == Outcome.RESET ? now : s.unheardAt;
+        boolean lost = (rolesTold || settings.primaryField() >= 0) && e.outcome() == Outcome.RESET;
+        s.doubtedAt = e.role() != Role.UNKNOWN ? 0 : lost ? now : s.doubtedAt;
         if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // commits are rounded up
             s.known = Math.max(s.known, e.positionNs());
             if (e.role() == Role.REPLICA) {
                 sawLag(s, Math.max(0, now - e.positionNs()));
             }
         }
-        a.writer.writing--;
+        a.owner.writing--;
         if (o.bindsSession && !e.outcome().neverRan) {
             Session session = remember(o.group, o.session);
             boolean told = e.outcome() == Outcome.OK && e.positionNs() > 0;
@@ -743,7 +741,7 @@
             case OK -> {
                 answeredWell(s);
                 if (a.sentAt > stalledAt) {
-                    pace(s, o, e.latencyNs(), a.load);
+                    pace(s, o, e.latencyNs(), a.outThen);
                 }
                 s.rest = Math.max(restFirst, s.rest / 2);
                 if (o.erred != null && o.erred != s) {
@@ -837,7 +835,7 @@
             return false;
         }
         if (s.ill && (s.cut || !panic(o.group))) { // what cannot be reached is no use, whatever the others do
-            return s.out == 0 && s.nextTrial <= now && (s.provenAt >= s.illAt || !settings.limits().probes());
+            return s.out == 0 && s.nextTrial <= now && (s.wellAt >= s.illAt || !settings.limits().probes());
         }
         long aim = o.arrived + o.type.onTimeNs();
         // a late request takes what is left over: it must not build a queue that makes others late too
@@ -905,7 +903,7 @@
         Store stalest = null;
         Store doubtful = null;
         for (Store s : g.members) {
-            if ((lost || s.ill || !s.proven || s.unheardAt > 0) && s.nextTrial <= now) {
+            if ((lost || s.ill || !s.proven || s.doubtedAt > 0) && s.nextTrial <= now) {
                 doubtful = doubtful == null || s.probedAt < doubtful.probedAt ? s : doubtful;
             } else if (s.listed() && !s.probing && (stalest == null || s.seenAt() < stalest.seenAt())) {
                 stalest = s;
@@ -941,7 +939,7 @@
         if (e.outcome() == Outcome.OK) {
             s.proven = true;
             s.cut = false;
-            s.provenAt = now;
+            s.wellAt = now;
             reported(s, e.report(), false);
         } else if (e.outcome() == Outcome.RESET) {
             broke(s);
@@ -972,10 +970,10 @@
         if (primary) {
             reportAge += FOLLOW * (now - position - reportAge);
             leads(s, Math.max(position, 1));
-            s.unheardAt = position >= s.unheardAt ? 0 : s.unheardAt;
+            s.doubtedAt = position >= s.doubtedAt ? 0 : s.doubtedAt;
         } else if (!leads) {
             leadsNot(s, now - 2 * (long) reportAge);
-            s.unheardAt = s.group.leader == s ? now : 0; // older than its own word, or newer: it is asked
+            s.doubtedAt = s.group.leader == s ? now : 0; // older than its own word, or newer: it is asked
             if (s.lagAt < now - reportAge) {
                 sawLag(s, Math.max(0, now - position - (long) reportAge));
             }
@@ -1034,6 +1032,8 @@
         }
         s.availability = Availability.GONE;
         s.group.members.remove(s);
-        leadsNot(s, now);
+        if (s.group.leader == s) {
+            leadsNot(s, now);
+        }
     }
 }
--- a/pooler/src/test/java/holdmux/decision/RulesTest.java
+++ b/pooler/src/test/java/holdmux/decision/RulesTest.java
@@ -281,6 +281,17 @@
         }
     }
 
+    /** Where the list alone tells roles, nothing could end the doubt: the primary would take no such read ever again. */
+    @Test
+    void whereAnswersTellNoRolesAResetPutsNoneInDoubt() {
+        Settings s = Front.settings(Guards.OFF, true);
+        Front f = new Front(new Settings(0, 2, 0, s.stepNs(), s.classes(), List.of(), 1, s.guards(), 0, Front.ZERO, true, true,
+                false, s.rules(), new Limits(6, false, true, false, true, 500 * MS, false), -1, -1, -1, -1, -1), 1).listed();
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(1, Front.UNSAFE, 5))));
+        f.at(20, f.answer(1, 0, 1, Outcome.RESET, Role.UNKNOWN, 0));
+        assertEquals(1, Front.sentTo(f.at(1, Front.request(2, Front.OWN, 5))));
+    }
+
     /** A report that it does not lead may be older than its last word, or newer: reports come late. */
     @Test
     void aPrimaryThatAReportDeniesTakesReadsOnceItHasSaidThatItLeads() {
