Keep the 6 s of the operators' terms in the watch's test, and one way to take its number

TOLD_MS was used by the test alone and is there now; a list's number was set twice; the length of a CancelRequest has its name.

--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -21,20 +21,18 @@
  * waited for in its queue rather than made again, and failed ones are made again ever later, at random times.
  */
 public final class Watch implements Runnable {
-    /**
-     * Whatever became of earlier calls, a change counts as told this long after discovery had it and could be reached. Two
-     * calls in a row may be silent, accepted and never answered or cut in half, each with its pause and a slow connect:
-     * the third is answered within this. The figures below add up to 5.6 s at most.
-     */
-    static final int TOLD_MS = 6_000;
+    // Whatever became of earlier calls, a change counts as told 6 s after discovery had it and could be reached. Two calls
+    // in a row may be silent, accepted and never answered or cut in half, each with its pause and a slow connect: the
+    // third is answered within that, since these figures add up to 5.6 s at most.
+
     /** How long one call waits. Short, because what a lost call had to tell counts as told 2 s after this. */
-    static final int HOLD_MS = 2_000;
+    private static final int HOLD_MS = 2_000;
     /** Silence beyond the hold that shows a dead call: the agent is on this machine and answers at once. */
-    static final int SILENCE_MS = 500;
+    private static final int SILENCE_MS = 500;
     static final int CONNECT_MS = 300;
     /** A call that begins a watch. A process's first one may wait its turn at discovery, which is short of room when most
-     * poolers start; one behind a call that failed may not, by {@link #TOLD_MS}. */
-    static final int TURN_MS = 2_500, AGAIN_TURN_MS = 1_300;
+     * poolers start; one behind a call that failed may not, by the 6 s. */
+    private static final int TURN_MS = 2_500, AGAIN_TURN_MS = 1_300;
     /** The hold of the first call: a new process is not ready before it has been told. */
     private static final int FIRST_HOLD_MS = 500;
     /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. What discovery
@@ -53,7 +51,7 @@
     private long seq;
     /** Whether the whole list is to be asked for, and whether the next call begins a watch. */
     private boolean whole, begins = true;
-    /** Whether the list had before was older than one had already: a second such one shows that counting began anew. */
+    /** Whether the last list was refused as an older one: a second such one, whole, shows that counting began anew. */
     private boolean older;
     private int failures;
 
@@ -148,9 +146,8 @@
         older = false;
         if (news) {
             lists.accept(list);
-            seq = list.seq();
         }
-        seq = Math.max(seq, list.seq());
+        seq = news ? list.seq() : Math.max(seq, list.seq());
         begins = whole; // a whole list is no watch yet
         whole = false;
         if (failures > 0) {
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -51,6 +51,8 @@
     }
 
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
+    /** A CancelRequest is its length, its code, the process and the secret. */
+    private static final int CANCEL_LENGTH = 4 * Integer.BYTES;
     /** A startup packet is a few short names; PostgreSQL itself takes no more than this. */
     private static final int MOST_STARTUP = 10_000;
     /** Longer queries go to a buffer of the pool; a usual one of 1 KiB in hexadecimal is shorter. */
@@ -141,7 +143,7 @@
                 in.skip(length - 8);
                 out.write('N');
             } else if (code == CANCEL_REQUEST) {
-                if (length == 2 * Long.BYTES) {
+                if (length == CANCEL_LENGTH) {
                     context.clients().cancel(in.number(), in.number());
                 }
                 return false;
--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -27,6 +27,9 @@
     private static final String HOST = "{\"host\":\"s-1\",\"dial\":\"127.0.0.1:5501\",\"site\":\"a\",\"class\":\"m\","
             + "\"block\":0,\"health\":\"up\",\"share\":1,\"born_ms\":0}";
 
+    /** The operators' term for news that earlier calls failed to bring. */
+    private static final long TOLD_MS = 6_000;
+
     private final Counters counters = new Counters();
     private final LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
 
@@ -112,7 +115,7 @@
                 most = Math.max(most, Watch.pauseMs(1, random) + Watch.pauseMs(2, random));
             }
             long sum = Watch.patienceMs(begins, 0) + Watch.patienceMs(true, 1) + 3 * Watch.CONNECT_MS + most;
-            assertTrue(sum <= Watch.TOLD_MS - 400, begins + ": " + sum);
+            assertTrue(sum <= TOLD_MS - 400, begins + ": " + sum);
         }
         long returned = Watch.patienceMs(true, 1_000) + Watch.CONNECT_MS + 750;
         assertTrue(returned <= 4_000, "a call that was silent as discovery came back, after a new configuration: " + returned);
