--- /dev/null
+++ b/app/src/test/java/holdmux/app/drill/DrainUnderFaultsTest.java
@@ -0,0 +1,90 @@
+package holdmux.app.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.app.demo.PgClient;
+import holdmux.config.Config;
+import holdmux.standins.FaultRelay;
+import holdmux.standins.QuoteGroup.Arrival;
+import holdmux.standins.StandIns;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A pooler in a process of its own behind a discovery with faults: drains hold all the same. */
+@Timeout(60)
+class DrainUnderFaultsTest {
+    /** The platform's terms: what discovery has counts as told by then, and the grace after that. */
+    private static final long TOLD_MS = 6_000, GRACE_MS = 2_000;
+    private static final long WATCHED_MS = 3_000;
+    private static final String DRAINING = "s-2";
+
+    @TempDir
+    Path folder;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    /**
+     * Answers of discovery that take longer than a call is waited for were never heard: each call was closed with its answer
+     * on its way, and made anew to meet the same end, so that a drain was not told for as long as discovery was slow.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {800, 1_600})
+    void aDrainIsHeardFromASlowDiscovery(int eachWayMs) throws Exception {
+        try (StandIns fleet = new StandIns()) {
+            for (String server : List.of("s-1", DRAINING, "s-3")) {
+                fleet.start(server, StandIns.PG_KIND);
+            }
+            int port = StandIns.freePort();
+            JSONObject config = new JSONObject(fleet.config(port, 192, 1_024));
+            try (FaultRelay discovery = new FaultRelay(Config.address(config.getString("discovery")))) {
+                config.put("discovery", "127.0.0.1:" + discovery.address().getPort());
+                PoolerProcess pooler = new PoolerProcess("p", port, folder, config.toString(), List.of());
+                AtomicBoolean over = new AtomicBoolean();
+                try {
+                    pooler.start();
+                    pooler.awaitListening();
+                    threads.submit(() -> load(pooler, over));
+                    Thread.sleep(1_000);
+                    discovery.slow(eachWayMs);
+                    Thread.sleep(3_000); // calls that were under way have ended
+                    long began = System.nanoTime();
+                    fleet.list(DRAINING, "draining");
+                    Thread.sleep(TOLD_MS + GRACE_MS + WATCHED_MS);
+                    over.set(true);
+                    List<Arrival> arrivals = fleet.group().arrivals();
+                    assertTrue(arrivals.stream().anyMatch(a -> a.server().equals(DRAINING) && a.atNs() < began),
+                            "it was in use");
+                    long end = began + (TOLD_MS + GRACE_MS) * 1_000_000;
+                    assertTrue(arrivals.stream().anyMatch(a -> a.atNs() > end), "the load goes on");
+                    assertEquals(0, arrivals.stream().filter(a -> a.server().equals(DRAINING) && a.atNs() > end).count(),
+                            "requests sent to a draining server after the grace");
+                } finally {
+                    over.set(true);
+                    pooler.kill();
+                }
+            }
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private static Void load(PoolerProcess pooler, AtomicBoolean over) throws Exception {
+        try (PgClient client = new PgClient(pooler.port, 10_000)) {
+            for (int i = 0; !over.get(); i++) {
+                client.query("SELECT data FROM facts WHERE code = 'k' /* id=r" + i + ",c=history,d=1500,cluster=1 */",
+                        new HashMap<>());
+                Thread.sleep(10);
+            }
+        }
+        return null;
+    }
+}
--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -158,6 +158,18 @@
         }
     }
 
+    /** One entry that cannot be read used to refuse the list it came with, and the drains in it, for as long as it was told. */
+    @Test
+    void anEntryThatCannotBeReadHidesNoOther() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            follow(agent);
+            String spoilt = HOST.replace("s-1", "s-2").replace("127.0.0.1:5501", "nowhere");
+            String body = "{\"seq\":43,\"whole\":false,\"hosts\":[" + spoilt + "," + HOST.replace("up", "draining") + "]}";
+            call(agent, "200 OK\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            assertEquals(43, taken.poll(2, java.util.concurrent.TimeUnit.SECONDS), "the list was refused");
+        }
+    }
+
     /** Poolers that all lost discovery at one moment must not come back to it at one moment, nor ever faster. */
     @Test
     void failedCallsAreMadeAgainEverLaterAndAtRandom() {
--- a/standins/src/main/java/holdmux/standins/FaultRelay.java
+++ b/standins/src/main/java/holdmux/standins/FaultRelay.java
@@ -32,6 +32,7 @@
     private final InetSocketAddress target;
     private final List<Socket> open = new ArrayList<>();
     private Mode mode = Mode.PASS;
+    private int slowMs = SLOW_MS;
 
     public FaultRelay(InetSocketAddress target) throws IOException {
         this.target = target;
@@ -53,6 +54,16 @@
         notifyAll();
     }
 
+    /** From now on all passes so much later, each way. */
+    public synchronized void slow(int delayMs) {
+        slowMs = delayMs;
+        set(Mode.SLOW);
+    }
+
+    private synchronized int slowMs() {
+        return slowMs;
+    }
+
     private synchronized Mode mode() {
         return mode;
     }
@@ -112,7 +123,7 @@
 
     private void awaitPassing(Socket from, boolean back) throws InterruptedException, IOException {
         if (mode() == Mode.SLOW) {
-            Thread.sleep(SLOW_MS);
+            Thread.sleep(slowMs());
         }
         synchronized (this) {
             while (mode == Mode.SILENT || mode == Mode.HALF_OPEN && back) {
--- a/standins/src/main/java/holdmux/standins/PgQuoteServer.java
+++ b/standins/src/main/java/holdmux/standins/PgQuoteServer.java
@@ -75,6 +75,7 @@
             socket.getOutputStream().write(row(group.pressure(member).getBytes(StandardCharsets.UTF_8), "SHOW").bytes());
             return;
         }
+        group.arrived(member, sql);
         Asked asked = Asked.of(sql);
         Fault fault = group.fault(asked.id());
         group.begins(member);
--- a/standins/src/main/java/holdmux/standins/QuoteGroup.java
+++ b/standins/src/main/java/holdmux/standins/QuoteGroup.java
@@ -17,6 +17,7 @@
  */
 public final class QuoteGroup {
     private static final Pattern ID = Pattern.compile("\\bid=([^,*\\s]+)");
+    private static final Pattern WAIT = Pattern.compile("\\bd=(\\d+)");
     private static final Pattern LITERAL = Pattern.compile("'((?:[^']|'')*)'");
 
     /** One server of the group; {@code lagMs} is how far its data is behind. */
@@ -49,6 +50,9 @@
         }
     }
 
+    /** A request that has come whole to a server, when on {@link System#nanoTime}, and how long it says its client waits. */
+    public record Arrival(String server, String id, long atNs, long waitMs) {}
+
     /** The wrong server for this request: no primary for a write. */
     static final class MissException extends Exception {
         private static final long serialVersionUID = 1L;
@@ -62,6 +66,7 @@
     private final List<Entry> log = new ArrayList<>();
     private final Map<String, Integer> runs = new HashMap<>();
     private final Map<String, List<String>> ranAt = new HashMap<>();
+    private final List<Arrival> arrivals = new ArrayList<>();
     private final Map<String, Deque<Fault>> faults = new HashMap<>();
     private String primary;
     private long lastCommitMs;
@@ -154,6 +159,19 @@
         }
     }
 
+    /** Notes that a request has come whole to a server, whatever becomes of it. */
+    synchronized void arrived(Member member, String sql) {
+        Matcher id = ID.matcher(sql);
+        Matcher wait = WAIT.matcher(sql);
+        arrivals.add(new Arrival(member.name, id.find() ? id.group(1) : "", System.nanoTime(),
+                wait.find() ? Long.parseLong(wait.group(1)) : 0));
+    }
+
+    /** All requests that came to a server, in order. */
+    public synchronized List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
     /** How often each request ran, by id. */
     public synchronized Map<String, Integer> runs() {
         return Map.copyOf(runs);
