Hear slow answers of discovery: overlap calls instead of closing the overdue one

Cause: Watch.follow gave a call patienceMs (1.3 s behind a failure: 0.5 s of hold and 0.8 s) and Watch.run closed its connection by try-with-resources when that was over, then called anew. An answer that takes longer is on its way then and is lost with the connection; the next call meets the same end. Same form: a connect to the agent over 0.3 s.

Change: - Watch, now in four files: CallSchedule (times), ListVersions (which list is newer), DiscoveryCall (one connection on a thread of its own), Watch. Four at most; the oldest is kept. After SIGHUP the old agent's calls are listened to until the new one has answered. - Fleet: a drain or removal is undone only by a list newer than the one that told it, or by a later start of the server. Before, Watch took an older whole list at its second arrival, drained servers up again with it. - HostList: an entry that cannot be read is set apart (entries_refused). Unless it says up, its server gets nothing new. - What could not be taken in, by an Error too, is asked for again: the version moves on only afterwards.

--- a/pooler/src/main/java/holdmux/config/Config.java
+++ b/pooler/src/main/java/holdmux/config/Config.java
@@ -85,7 +85,7 @@
                     address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)),
                     management.isEmpty() ? null : address(management),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
-                    limits.getInt("sockets"), HostList.decode(all.getJSONObject("known")),
+                    limits.getInt("sockets"), HostList.decode(all.getJSONObject("known"), fileFirst),
                     new SettingsReader(settings).deployment(), Set.copyOf(keys), ownSettings);
         } catch (JSONException | NumberFormatException e) {
             throw new ConfigException("configuration: " + e.getMessage());
--- a/pooler/src/main/java/holdmux/config/HostList.java
+++ b/pooler/src/main/java/holdmux/config/HostList.java
@@ -8,11 +8,40 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 
-/** Discovery's list of servers, whole or only what changed, as one document told it. */
-public record HostList(long seq, boolean whole, List<Host> hosts) {
+/**
+ * Discovery's list of servers, whole or only what changed, as one document told it; {@code unfit} are entries that name a
+ * server and cannot be read otherwise.
+ */
+public record HostList(long seq, boolean whole, List<Host> hosts, List<Unfit> unfit) {
+    /** An entry that cannot be used: the server it names, its health as it stands there, and what is wrong with it. */
+    public record Unfit(String name, String health, String problem) {
+        /** Whether it says in so many words that the server takes new work. */
+        public boolean saysUp() {
+            return health.equals(UP);
+        }
+
+        /** Whether it says that the server is gone. */
+        public boolean saysRemoved() {
+            return health.equals(REMOVED);
+        }
+    }
+
+    private static final String UP = "up", DRAINING = "draining", REMOVED = "removed";
+
+    /** A list all of whose entries can be used. */
+    public HostList(long seq, boolean whole, List<Host> hosts) {
+        this(seq, whole, hosts, List.of());
+    }
+
     /** One server; {@code dial} is null for one that is gone, {@code bornMs} is 0 for long ago. */
     public record Host(String name, InetSocketAddress dial, String site, String kind, int group, Availability availability,
             double share, long bornMs, boolean primary) {
+        /** The same server in another state. */
+        public Host with(Availability other) {
+            return other == availability ? this
+                    : new Host(name, other == Availability.GONE ? null : dial, site, kind, group, other, share, bornMs, primary);
+        }
+
         /** The same server, started anew at this time. */
         public Host bornAt(long ms) {
             return new Host(name, dial, site, kind, group, availability, share, ms, primary);
@@ -32,29 +61,46 @@
         return hosts.stream().filter(host -> host.availability() == availability).map(Host::name).limit(MOST_NAMED).toList();
     }
 
-    /** Decodes one document; what does not have discovery's form is a {@link ConfigException}. */
+    /**
+     * Decodes one document; what does not have discovery's form is a {@link ConfigException}. An entry that cannot be read
+     * is set apart: it must not hide what the others tell.
+     */
     public static HostList decode(String json) {
         try {
-            return decode(new JSONObject(json));
+            return decode(new JSONObject(json), true);
         } catch (JSONException e) {
             throw new ConfigException("a list of hosts: " + e.getMessage());
         }
     }
 
-    static HostList decode(JSONObject list) {
+    /** {@code lenient}: whether entries that cannot be read are set apart, rather than the whole list refused. */
+    static HostList decode(JSONObject list, boolean lenient) {
         JSONArray lines = list.getJSONArray("hosts");
         List<Host> hosts = new ArrayList<>();
+        List<Unfit> unfit = new ArrayList<>();
         for (int i = 0; i < lines.length(); i++) {
-            hosts.add(host(lines.getJSONObject(i)));
+            try {
+                hosts.add(host(lines.getJSONObject(i)));
+            } catch (JSONException | ConfigException e) {
+                if (!lenient) {
+                    throw e;
+                }
+                unfit.add(unfit(lines.optJSONObject(i), e.getMessage()));
+            }
         }
-        return new HostList(list.getLong("seq"), list.getBoolean("whole"), List.copyOf(hosts));
+        return new HostList(list.getLong("seq"), list.getBoolean("whole"), List.copyOf(hosts), List.copyOf(unfit));
+    }
+
+    private static Unfit unfit(JSONObject line, String problem) {
+        return line == null ? new Unfit("", "", problem)
+                : new Unfit(line.optString("host"), line.optString("health"), problem);
     }
 
     private static Host host(JSONObject line) {
         Availability availability = switch (line.getString("health")) {
-            case "up" -> Availability.READY;
-            case "draining" -> Availability.DRAINING;
-            case "removed" -> Availability.GONE;
+            case UP -> Availability.READY;
+            case DRAINING -> Availability.DRAINING;
+            case REMOVED -> Availability.GONE;
             default -> throw new JSONException("unknown health " + line.getString("health"));
         };
         return new Host(line.getString("host"),
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -77,9 +77,11 @@
     public void listChanged(HostList list, boolean cached) {
         lock.lock();
         try {
+            long stale = fleet.staleEntries();
             ListChanged change = fleet.take(list, cached);
             feed(change);
             counters.count(Counter.LISTS_TAKEN);
+            counters.add(Counter.STALE_ENTRIES, fleet.staleEntries() - stale);
             change.lines().forEach(this::countTold);
         } finally {
             lock.unlock();
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -2,99 +2,98 @@
 
 import holdmux.config.ConfigException;
 import holdmux.config.HostList;
+import holdmux.core.Clock;
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
-import holdmux.core.TimedInput;
-import java.io.BufferedInputStream;
+import holdmux.core.Workers;
+import holdmux.discovery.DiscoveryCall.Query;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /**
- * Follows discovery's list for ever, over one connection at a time: what changed since the list that this program was
- * given at its start, or the whole where there was none, then further changes. Many poolers share discovery: a call is
- * waited for in its queue rather than made again, and failed ones are made again ever later, at random times.
+ * Follows discovery's list for ever: what changed since the list that this program was given at its start, or the whole
+ * where there was none, then further changes. One call is the current one, which is answered as a rule. Where it is
+ * overdue another one is made beside it, and both are listened to: a slow discovery is heard as well as one that has
+ * come back after it lost a call. Many poolers share discovery: failed calls are made again ever later, at random times.
  */
-public final class Watch implements Runnable {
-    // Whatever became of earlier calls, a change counts as told 6 s after discovery had it and could be reached. Two calls
-    // in a row may be silent, accepted and never answered or cut in half, each with its pause and a slow connect: the
-    // third is answered within that, since these figures add up to 5.6 s at most.
-
-    /** How long one call waits. Short, because what a lost call had to tell counts as told 2 s after this. */
-    private static final int HOLD_MS = 2_000;
-    /** Silence beyond the hold that shows a dead call: the agent is on this machine and answers at once. */
-    private static final int SILENCE_MS = 500;
-    static final int CONNECT_MS = 300;
-    /** A call that begins a watch. A process's first one may wait its turn at discovery, which is short of room when most
-     * poolers start; one behind a call that failed may not, by the 6 s. */
-    private static final int TURN_MS = 2_500, AGAIN_TURN_MS = 1_300;
-    /** The hold of the first call: a new process is not ready before it has been told. */
-    private static final int FIRST_HOLD_MS = 500;
-    /** Between failed calls, twice as long each time up to the longest, half of it more or less by chance. What discovery
-     * has at its return counts as told at once, and drains are kept 2 s later: the longest is well within that. */
-    private static final int AGAIN_MS = 100, AGAIN_LONGEST_MS = 500;
+public final class Watch implements Runnable, DiscoveryCall.Listener {
+    /** Calls that are listened to at once. */
+    private static final int MOST_CALLS = 4;
     /** Failures between log lines: one line in some seconds of silence. */
     private static final int LOG_EVERY = 10;
 
-    /** Where the agent is now, and the connection to it; a change takes hold at the next call. */
-    private InetSocketAddress agent;
-    private Socket calling;
-    private boolean moved;
     private final Counters counters;
     private final Consumer<HostList> lists;
     private final SplittableRandom random;
-    private long seq;
-    /** Whether the whole list is to be asked for, and whether the next call begins a watch. */
-    private boolean whole, begins = true;
-    /** Whether the last list was refused as an older one: a second such one, whole, shows that counting began anew. */
-    private boolean older;
+    // all that follows under this object's monitor
+    /** Where the agent is now, and whether it has not answered since it was named. */
+    private InetSocketAddress agent;
+    private boolean moved;
+    private final ListVersions versions;
+    /** The calls that are listened to, the oldest first, and the one that is expected to answer; null for none. */
+    private final List<DiscoveryCall> calls = new ArrayList<>();
+    private DiscoveryCall current;
+    /** On {@link System#nanoTime}: when the current call is overdue, or the next one is made where there is none. */
+    private long due;
+    /** When a call was last answered. */
+    private long answeredAt;
+    /** Whether the next call begins a watch, as the first one and all behind a failure do. */
+    private boolean begins = true;
     private int failures;
-    /** The number of the latest call, in the log. */
-    private long number;
+    private long lastNumber;
 
     /** {@code known} is the list as it was last had, empty for none; {@code lists} takes each further one in, in order. */
     public Watch(InetSocketAddress agent, HostList known, long seed, Counters counters, Consumer<HostList> lists) {
         this.agent = agent;
-        seq = known.seq();
-        whole = known.hosts().isEmpty();
-        random = new SplittableRandom(seed);
-        calling = new Socket();
         this.counters = counters;
         this.lists = lists;
+        versions = new ListVersions(known);
+        random = new SplittableRandom(seed);
+        answeredAt = System.nanoTime();
+        due = answeredAt;
+        counters.show("list_version", () -> Long.toString(version()));
+        counters.show("list_confirmed_ms_ago", () -> Long.toString(confirmedMsAgo()));
     }
 
     @Override
     public void run() {
         while (true) {
-            try (Socket socket = new Socket()) {
-                InetSocketAddress at = begin(socket);
-                socket.connect(at, CONNECT_MS);
-                socket.setTcpNoDelay(true);
-                follow(socket, at);
-            } catch (IOException | RuntimeException e) {
-                failed(e);
+            try {
+                turn();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException("nothing interrupts this thread", e);
             }
         }
     }
 
+    /** Waits for what is due, and does it. */
+    private synchronized void turn() throws InterruptedException {
+        long left = due - System.nanoTime();
+        if (left > 0) {
+            wait(Clock.millisUp(left));
+        } else if (current != null) {
+            overdue();
+        } else {
+            begin();
+        }
+    }
+
     /**
-     * Follows the list at another address from now on. The call under way is cut short: what the old agent has
-     * still to tell may never come, and the new one's whole list holds it all.
+     * Follows the list at another address from now on. The old agent's calls are listened to until the new one has
+     * answered: what it has still to tell is newer than what was told.
      */
     public synchronized void moveTo(InetSocketAddress to) {
         if (!to.equals(agent)) {
             agent = to;
             moved = true;
-            try {
-                calling.close();
-            } catch (IOException e) {
-                // closing is all that was wanted
-            }
+            versions.wantWhole();
+            Log.info("discovery moves to " + to + ", version " + versions.version() + " in force");
+            next(0);
         }
     }
 
@@ -103,90 +102,154 @@
         return agent;
     }
 
-    private synchronized InetSocketAddress begin(Socket socket) {
-        calling = socket;
-        whole |= moved;
-        begins |= moved;
-        moved = false;
-        return agent;
+    private synchronized long version() {
+        return versions.version();
+    }
+
+    private synchronized long confirmedMsAgo() {
+        return (System.nanoTime() - answeredAt) / Clock.MS;
     }
 
-    private synchronized boolean hasMoved() {
-        return moved;
+    /** There is no current call any more; the next one, which begins a watch, is made after this pause. */
+    private void next(long afterMs) {
+        current = null;
+        begins = true;
+        due = System.nanoTime() + afterMs * Clock.MS;
+        notifyAll();
     }
 
-    /** Calls over one connection until it ends; its last answer may close it in good order. */
-    private void follow(Socket socket, InetSocketAddress at) throws IOException {
-        TimedInput timed = new TimedInput(socket, 0);
-        InputStream in = new BufferedInputStream(timed);
-        boolean open = true;
-        while (open) {
-            timed.within(patienceMs(begins, failures));
-            number++;
+    /** Makes a call on a connection of its own. */
+    private void begin() {
+        while (calls.size() >= MOST_CALLS) {
+            calls.remove(1).close(); // not the oldest: for a discovery slower than all the others wait it is the one hope
+        }
+        DiscoveryCall call = new DiscoveryCall(++lastNumber, agent, query(), this);
+        try {
+            expect(call);
+            calls.add(call);
             counters.count(Counter.WATCH_CALLS);
-            socket.getOutputStream().write(call(at).getBytes(StandardCharsets.US_ASCII));
-            HttpResponse response = HttpResponse.read(in);
-            if (response.status() != 200) {
-                whole |= response.status() < 500; // our version may be one that discovery no longer knows
-                throw new IOException("status " + response.status());
-            }
-            take(HostList.decode(response.body()));
-            open = response.keepAlive();
+            Workers.thread("discovery call", call).start();
+        } catch (OutOfMemoryError e) { // no thread to be had now
+            calls.remove(call);
+            failedCurrent("discovery cannot be called: ", e, call);
         }
     }
 
-    private String call(InetSocketAddress at) {
-        String query = whole ? "" : "?from=" + seq + "&hold_ms=" + (begins ? FIRST_HOLD_MS : HOLD_MS);
-        return "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + at.getHostString() + ":" + at.getPort()
-                + "\r\nAccept: application/json\r\n\r\n";
+    private Query query() {
+        int holdMs = begins ? CallSchedule.FIRST_HOLD_MS : CallSchedule.HOLD_MS;
+        String parameters = versions.wholeWanted() ? "" : "?from=" + versions.version() + "&hold_ms=" + holdMs;
+        return new Query(parameters, versions.version());
     }
 
-    private void take(HostList list) {
-        boolean news = list.whole() || !list.hosts().isEmpty();
-        if (news && list.seq() < seq && !(list.whole() && older)) {
-            older = true;
-            throw new ConfigException("list " + list.seq() + " is older than " + seq + ", which is in force");
+    private void expect(DiscoveryCall call) {
+        current = call;
+        int patience = CallSchedule.patienceMs(begins, moved ? Math.max(1, failures) : failures);
+        due = System.nanoTime() + (patience + CallSchedule.CONNECT_MS) * Clock.MS;
+    }
+
+    /** The current call has not been answered in time: it is listened to further, and another one is made. */
+    private void overdue() {
+        counters.count(Counter.WATCH_OVERDUE);
+        failedCurrent("discovery does not answer: ", "no answer in time", current);
+    }
+
+    @Override
+    public synchronized Query answered(DiscoveryCall call, HttpResponse response) throws IOException {
+        if (!calls.contains(call)) {
+            return null; // closed meanwhile
         }
-        older = false;
-        if (news) {
-            lists.accept(list);
-            Log.info("discovery call " + number + ": " + list.describe());
+        if (response.status() != 200) {
+            if (response.status() < 500) {
+                versions.wantWhole(); // our version may be one that discovery no longer knows
+            }
+            throw new IOException("status " + response.status());
         }
-        seq = news ? list.seq() : Math.max(seq, list.seq());
-        begins = whole; // a whole list is no watch yet
-        whole = false;
+        HostList list = HostList.decode(response.body());
+        take(list, call);
+        answeredAt = System.nanoTime();
         if (failures > 0) {
             Log.info("discovery answers again after " + failures + " failed calls");
             failures = 0;
         }
+        endBefore(call);
+        return goOn(call, response.keepAlive(), list.whole());
     }
 
-    /** How long a call may take before it is given up; {@code begins}: one that begins a watch, behind so many failures. */
-    static int patienceMs(boolean begins, int failures) {
-        return !begins ? HOLD_MS + SILENCE_MS : failures == 0 ? TURN_MS : AGAIN_TURN_MS;
+    private void take(HostList list, DiscoveryCall call) {
+        switch (versions.judge(list, call.query().askedAt())) {
+            case TAKE -> {
+                lists.accept(list);
+                versions.taken(list); // not before: what could not be taken in is asked for again
+                Log.info("discovery call " + call.number() + ": " + list.describe());
+            }
+            case NOTHING_NEW -> versions.nothingNew(list);
+            case OLDER -> {
+                versions.refusedAsOlder();
+                throw new ConfigException("list " + list.seq() + " is older than " + versions.version()
+                        + ", which is in force");
+            }
+        }
+        if (!list.unfit().isEmpty()) {
+            counters.count(Counter.ENTRIES_REFUSED);
+            Log.warn("discovery's list " + list.seq() + " has entries that cannot be used: " + list.unfit());
+        }
     }
 
-    static long pauseMs(int failures, SplittableRandom random) {
-        long longest = Math.min(AGAIN_LONGEST_MS, (long) AGAIN_MS << Math.min(failures, 16));
-        return longest / 2 + random.nextLong(longest);
+    /** Calls made before one that has been answered have nothing to add. */
+    private void endBefore(DiscoveryCall answered) {
+        while (calls.get(0) != answered) {
+            DiscoveryCall call = calls.remove(0);
+            call.close();
+            current = current == call ? null : current;
+        }
     }
 
-    private void failed(Exception e) {
-        if (hasMoved()) {
-            return; // the old agent's call was ended by us
+    /** The next query on the connection of a call that was answered; null where it ends. */
+    private Query goOn(DiscoveryCall call, boolean keepAlive, boolean whole) {
+        boolean stays = call.agent().equals(agent);
+        moved &= !stays;
+        boolean needed = stays && (current == null || current == call);
+        if (!needed || !keepAlive) {
+            calls.remove(call);
+            if (needed) {
+                next(0);
+                begins = whole; // a whole list is no watch yet
+            }
+            return null;
         }
-        boolean unfit = e instanceof ConfigException || e instanceof HttpResponse.TooLongException;
-        counters.count(unfit ? Counter.LISTS_REFUSED : Counter.WATCH_FAILURES);
-        begins = true;
-        whole |= unfit;
-        if (failures++ % LOG_EVERY == 0) {
-            Log.warn((unfit ? "discovery's list cannot be used, the last one stays: " : "discovery does not answer: ")
-                    + e.getMessage() + " (call " + number + ", version " + seq + " in force, " + failures + " failed)");
+        begins = whole;
+        Query query = query();
+        expect(call);
+        notifyAll();
+        return query;
+    }
+
+    @Override
+    public synchronized void failed(DiscoveryCall call, Throwable cause) {
+        if (!calls.remove(call)) {
+            return; // closed here
         }
-        try {
-            Thread.sleep(pauseMs(failures, random));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+        boolean unfit = cause instanceof ConfigException || cause instanceof HttpResponse.TooLongException;
+        if (unfit) {
+            counters.count(Counter.LISTS_REFUSED);
+            versions.wantWhole();
+        }
+        if (call == current) {
+            failedCurrent(unfit ? "discovery's list cannot be used, the last one stays: " : "discovery does not answer: ",
+                    cause, call);
+        }
+    }
+
+    private void failedCurrent(String what, Object cause, DiscoveryCall call) {
+        boolean refused = cause instanceof ConfigException || cause instanceof HttpResponse.TooLongException;
+        if (!refused) {
+            counters.count(Counter.WATCH_FAILURES);
+        }
+        if (failures++ % LOG_EVERY == 0) {
+            String words = cause instanceof Exception e ? e.getMessage() : cause.toString();
+            Log.warn(what + words + " (call " + call.number() + " to " + call.agent() + ", version "
+                    + versions.version() + " in force, " + failures + " failed)");
         }
+        next(CallSchedule.pauseMs(failures, random));
     }
 }
--- a/pooler/src/test/java/holdmux/core/FleetTest.java
+++ b/pooler/src/test/java/holdmux/core/FleetTest.java
@@ -1,6 +1,7 @@
 package holdmux.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import holdmux.config.HostList;
 import holdmux.config.HostList.Host;
@@ -30,4 +31,14 @@
         assertEquals(Availability.DRAINING, told(list(42, true, Availability.READY, 0)), "told once more");
         assertEquals(Availability.READY, told(list(44, true, Availability.READY, 0)), "news that came after it");
     }
+
+    /** The same of a removal; a server that started after it is a new one. */
+    @Test
+    void anOlderListBringsNoRemovedServerBack() {
+        long store = fleet.take(list(41, true, Availability.READY, 5), false).lines().get(0).store();
+        assertEquals(Availability.GONE, told(list(43, false, Availability.GONE, 0)));
+        assertEquals(Availability.GONE, told(list(42, true, Availability.READY, 5)), "an older list");
+        assertNull(fleet.address(store));
+        assertEquals(Availability.READY, told(list(42, true, Availability.READY, 6)), "it started anew since");
+    }
 }
--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -79,7 +79,7 @@
      */
     @Test
     void aSilentCallIsMadeAnewBeforeWhatItMissesCounts() throws Exception {
-        assertTrue(Watch.patienceMs(true, 0) <= 3_000 && Watch.patienceMs(false, 0) <= 3_000);
+        assertTrue(CallSchedule.patienceMs(true, 0) <= 3_000 && CallSchedule.patienceMs(false, 0) <= 3_000);
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             follow(agent);
             try (Socket silent = agent.accept()) {
@@ -112,12 +112,12 @@
             long most = 0;
             for (int seed = 0; seed < 2_000; seed++) {
                 SplittableRandom random = new SplittableRandom(seed);
-                most = Math.max(most, Watch.pauseMs(1, random) + Watch.pauseMs(2, random));
+                most = Math.max(most, CallSchedule.pauseMs(1, random) + CallSchedule.pauseMs(2, random));
             }
-            long sum = Watch.patienceMs(begins, 0) + Watch.patienceMs(true, 1) + 3 * Watch.CONNECT_MS + most;
+            long sum = CallSchedule.patienceMs(begins, 0) + CallSchedule.patienceMs(true, 1) + 3 * CallSchedule.CONNECT_MS + most;
             assertTrue(sum <= TOLD_MS - 400, begins + ": " + sum);
         }
-        long returned = Watch.patienceMs(true, 1_000) + Watch.CONNECT_MS + 750;
+        long returned = CallSchedule.patienceMs(true, 1_000) + CallSchedule.CONNECT_MS + 750;
         assertTrue(returned <= 4_000, "a call that was silent as discovery came back, after a new configuration: " + returned);
     }
 
@@ -170,15 +170,67 @@
         }
     }
 
+    /** The answer of a call that was overdue used to be thrown away with its connection: a slow discovery was never heard. */
+    @Test
+    void anOverdueCallIsStillHeard() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            follow(agent);
+            try (Socket slow = agent.accept(); Socket other = agent.accept()) {
+                slow.getOutputStream().write(("HTTP/1.1 " + list(43)).getBytes(StandardCharsets.UTF_8));
+                assertEquals(43, taken.take());
+                other.getOutputStream().write(("HTTP/1.1 " + list(42)).getBytes(StandardCharsets.UTF_8));
+                assertEquals("?from=43&hold_ms=2000", call(agent, list(44)), "an overtaken answer is neither news nor a fault");
+                assertEquals(44, taken.take());
+            }
+            assertEquals(1, counters.get(Counter.WATCH_OVERDUE));
+            assertEquals(0, counters.get(Counter.LISTS_REFUSED));
+        }
+    }
+
+    /** However slow discovery is, the oldest call is listened to while newer ones take turns beside it. */
+    @Test
+    void theOldestCallIsKept() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 9, InetAddress.getByName("127.0.0.1"))) {
+            follow(agent);
+            List<Socket> calls = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                calls.add(agent.accept());
+            }
+            calls.get(0).getOutputStream().write(("HTTP/1.1 " + list(43)).getBytes(StandardCharsets.UTF_8));
+            assertEquals(43, taken.take());
+            for (Socket socket : calls) {
+                socket.close();
+            }
+        }
+    }
+
+    /** What discovery told is asked for again where it could not be taken in, by an Error too. */
+    @Test
+    void aListThatCouldNotBeTakenInIsAskedForAgain() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
+            List<Error> faults = new ArrayList<>(List.of(new StackOverflowError()));
+            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters, l -> {
+                if (!faults.isEmpty()) {
+                    throw faults.remove(0);
+                }
+                taken.add(l.seq());
+            })).start();
+            call(agent, list(42));
+            assertEquals("?from=41&hold_ms=500", call(agent, list(42)));
+            assertEquals(42, taken.take());
+        }
+    }
+
     /** Poolers that all lost discovery at one moment must not come back to it at one moment, nor ever faster. */
     @Test
     void failedCallsAreMadeAgainEverLaterAndAtRandom() {
         List<Long> first = new ArrayList<>();
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            first.add(Watch.pauseMs(1, random));
+            first.add(CallSchedule.pauseMs(1, random));
             assertTrue(first.get(seed) >= 100 && first.get(seed) < 300);
-            long late = Watch.pauseMs(1_000_000, random);
+            long late = CallSchedule.pauseMs(1_000_000, random);
             assertTrue(late >= 250 && late < 750, "at most " + late);
         }
         assertNotEquals(1, first.stream().distinct().count());
