--- a/flight/src/main/java/holdmux/flight/FlightUpstream.java
+++ b/flight/src/main/java/holdmux/flight/FlightUpstream.java
@@ -174,6 +174,11 @@
         }
         Use use = new Use(attempt, connection);
         try {
+            if (!attempt.stands()) { // decided a while ago: a thread or a slot may have been waited for
+                services.counters().count(Counter.SENDS_OUTDATED);
+                use.clean = attempt.complete();
+                return ended(Reply.of(Outcome.MOOT));
+            }
             return work.run(use);
         } catch (ServerCall.EndedException e) {
             return ended(broken(use, e));
--- a/pooler/src/main/java/holdmux/Pooler.java
+++ b/pooler/src/main/java/holdmux/Pooler.java
@@ -66,12 +66,12 @@
         Config config = services.config();
         services.balancer().listChanged(config.known(), true);
         services.deadlines().after(DISCOVERY_MS * Clock.MS, ready::countDown);
-        Workers.thread("deadlines", services.deadlines()::run).start();
+        Workers.lasting("deadlines", services.counters(), services.deadlines()::run).start();
         Watch watch = new Watch(config.discovery(), config.known(), config.seed(), services.counters(), list -> {
             services.balancer().listChanged(list, false);
             ready.countDown();
         });
-        Workers.thread("discovery", watch).start();
+        Workers.lasting("discovery", services.counters(), watch).start();
         return watch;
     }
 
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -5,7 +5,6 @@
 import holdmux.core.Balancer;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
-import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Front;
 import holdmux.core.Fronts;
@@ -60,6 +59,7 @@
         if (deaf) {
             Log.warn("started with SIGHUP ignored, as nohup does: the configuration cannot be taken up anew");
         }
+        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Log.error("thread " + thread.getName() + " ended", e));
         Clock clock = new Clock();
         Config config = Config.load(System.getenv(), clock.now());
         Pooler pooler = new Pooler(config, parts, clock);
@@ -70,7 +70,7 @@
         Fronts fronts = pooler.fronts();
         Watch watch = pooler.begin();
         Steered steered = new Steered(services, watch);
-        Workers.thread("reload", () -> reload(hangUps, config, steered, watch, counters)).start();
+        Workers.lasting("reload", counters, new Reloader(hangUps, config, steered, watch, counters)).start();
         reportLater(deadlines, counters);
         Path folder = System.getenv("TMPDIR") == null ? null : Path.of(System.getenv("TMPDIR"));
         AtomicReference<Upgrade> upgrade = new AtomicReference<>();
@@ -92,7 +92,7 @@
         }, "drain"));
         boolean takesOver = upgrade.get().join();
         if (config.management() != null) {
-            Workers.thread("management", new ManagementServer(config.management(), operations, counters)).start();
+            Workers.lasting("management", counters, new ManagementServer(config.management(), operations, counters)).start();
         }
         start(pooler::warmUp, () -> {
             for (Part part : parts) {
@@ -136,29 +136,6 @@
         }
     }
 
-    /** SIGHUP: takes up the configuration anew, time and again; one that cannot be used leaves the old in force. */
-    private static void reload(Semaphore hangUps, Config first, Steered steered, Watch watch, Counters counters) {
-        Config config = first;
-        while (true) {
-            hangUps.acquireUninterruptibly();
-            hangUps.drainPermits();
-            try {
-                Config next = config.reload(System.getenv());
-                steered.file(next);
-                counters.count(Counter.RELOADS);
-                Log.info("configuration taken up anew; discovery is at " + watch.agent() + ", classes "
-                        + steered.services().balancer().deployment().classes());
-                if (first.needsRestartFor(next)) {
-                    Log.warn("the new configuration has other addresses or limits; those need a restart");
-                }
-                config = next;
-            } catch (IOException | RuntimeException e) {
-                counters.count(Counter.RELOADS_REFUSED);
-                Log.warn("the new configuration cannot be used, the old one stays: " + e.getMessage());
-            }
-        }
-    }
-
     private static void reportLater(Deadlines deadlines, Counters counters) {
         deadlines.after(REPORT_MS * Clock.MS, () -> {
             Log.info("counters; " + counters);
--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -3,7 +3,6 @@
 import holdmux.decision.SplitterApi.Outcome;
 import java.io.Closeable;
 import java.io.IOException;
-import java.util.function.BooleanSupplier;
 
 /**
  * One send to one server while it runs. The thread that carries it out blocks on the connection it has handed in;
@@ -15,20 +14,23 @@
     public final long limitNs;
     /** The number of this attempt within its request. */
     final int number;
-    private final BooleanSupplier stands;
+    private final Permit permit;
+    /** When it was let go out, on the {@link Clock}; 0 if it was not. Under the balancer's lock. */
+    long permittedAt;
     private Closeable connection;
     private Outcome cutAs;
     private boolean written;
     private boolean connected;
     private boolean over;
+    private boolean provenUnrun;
 
-    /** The {@code number}-th of its request; {@code stands}: whether what it was decided on still holds, see {@link #stands}. */
-    public Attempt(long store, int number, long startedAt, long limitNs, BooleanSupplier stands) {
+    /** The {@code number}-th of its request; {@code permit}: whether what it was decided on still holds, see {@link #stands}. */
+    public Attempt(long store, int number, long startedAt, long limitNs, Permit permit) {
         this.store = store;
         this.number = number;
         this.startedAt = startedAt;
         this.limitNs = limitNs;
-        this.stands = stands;
+        this.permit = permit;
     }
 
     /** Puts the attempt on a connection; false, with the connection closed, if it was cut off before. */
@@ -51,12 +53,25 @@
      * than a bound allows, a server lose its role or begin to drain. Where not, it was never sent.
      */
     public boolean stands() {
-        return stands.getAsBoolean();
+        return permit.mayWrite();
     }
 
     /** From the last byte on it may have run. */
-    public synchronized void written() {
-        written = true;
+    public void written() {
+        synchronized (this) {
+            written = true;
+        }
+        permit.written();
+    }
+
+    /** Notes how it ended. */
+    synchronized void ended(Outcome outcome) {
+        provenUnrun = outcome.neverRan;
+    }
+
+    /** Whether it was written and nothing has proven since that it did not run. */
+    synchronized boolean mayHaveRun() {
+        return written && !provenUnrun;
     }
 
     /** Ends the attempt from outside, with the outcome it then has if its connection breaks. */
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -5,7 +5,6 @@
 import holdmux.core.Counters.Counter;
 import holdmux.core.Upstream.Attempted;
 import holdmux.decision.EndReason;
-import holdmux.decision.Permission;
 import holdmux.decision.ReadWriteSplitter;
 import holdmux.decision.SplitterApi.Action;
 import holdmux.decision.SplitterApi.Answered;
@@ -53,6 +52,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final ReadWriteSplitter module;
     private volatile Deployment deployment;
+    private final SendGate gate;
     private final Map<Long, Request> open = new HashMap<>();
     private LongFunction<Upstream> upstreams;
     private WriteLog writeLog = write -> { };
@@ -67,6 +67,7 @@
         this.workers = workers;
         this.deployment = deployment;
         module = new ReadWriteSplitter(deployment.settings(), seed);
+        gate = new SendGate(counters, fleet);
     }
 
     /** Names who reaches each server; before the first list. */
@@ -79,6 +80,7 @@
         try {
             long stale = fleet.staleEntries();
             ListChanged change = fleet.take(list, cached);
+            gate.told(change, clock.now());
             feed(change);
             counters.count(Counter.LISTS_TAKEN);
             counters.add(Counter.STALE_ENTRIES, fleet.staleEntries() - stale);
@@ -143,6 +145,7 @@
         lock.lock();
         try {
             ListChanged change = fleet.leaveOut(servers, clock.now() / Clock.MS);
+            gate.told(change, clock.now());
             feed(change);
             change.lines().stream().filter(line -> line.availability() == Availability.DRAINING)
                     .forEach(line -> closeIdle(line.store()));
@@ -169,6 +172,7 @@
      * carried out one at a time (it never has two out), and their outcomes go back before the client sees anything.
      */
     public void life(Request request, Statement statement, Client client) {
+        boolean answering = false;
         try {
             arrived(request);
             while (true) {
@@ -182,14 +186,17 @@
                     answered(request, attempt, attempted.reply());
                     tellWrite(request.call, attempted.reply());
                     if (attempted.reply().outcome() == Outcome.OK) {
+                        answering = true;
                         pass(attempted.value(), client);
                         return;
                     }
                 } else if (step instanceof Request.End end && end.answer() instanceof Decline decline) {
+                    answering = true;
                     counters.count(Counter.REFUSED);
                     client.refuse(decline.waitNs());
                     return;
                 } else if (step instanceof Request.End) {
+                    answering = true;
                     counters.count(Counter.FAILED);
                     client.fail();
                     return;
@@ -202,11 +209,34 @@
             counters.count(Counter.ANSWERS_UNDELIVERED);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            failHere(request, client, answering);
+        } catch (RuntimeException | Error e) {
+            counters.count(Counter.INTERNAL_ERRORS);
+            Log.error("request " + request.id + " failed here", e);
+            failHere(request, client, answering);
         } finally {
             forget(request);
         }
     }
 
+    /** A fault of this program ends the request, with its final answer where that has not begun. */
+    private void failHere(Request request, Client client, boolean answering) {
+        boolean gone = request.leftAt > 0;
+        left(request); // what is out for it is given up
+        if (answering || gone) {
+            return;
+        }
+        try {
+            counters.count(Counter.FAILED);
+            client.fail();
+        } catch (IOException e) {
+            counters.count(Counter.ANSWERS_UNDELIVERED);
+        } catch (RuntimeException | Error e) {
+            gate.unanswered(request);
+            throw e;
+        }
+    }
+
     /** The final answer of a request that has run: its value, or that it cannot be told. */
     private void pass(Value value, Client client) throws IOException {
         if (value == null) {
@@ -237,6 +267,7 @@
                 end(request.id, new Decline(request.id, 0, EndReason.CLASS_DROPPED), EndReason.CLASS_DROPPED);
                 return;
             }
+            request.effect = deployment.settings().classes().get(index).effect();
             feed(new Arrived(request.id, index, call.retry(), call.remainingNs(), token, 0,
                     call.session(), 0, call.group()));
         } finally {
@@ -248,6 +279,7 @@
         lock.lock();
         try {
             counters.count(outcomeCounter(reply.outcome()));
+            attempt.ended(reply.outcome());
             request.over |= reply.outcome() == Outcome.OK;
             feed(new Answered(request.id, attempt.store, attempt.number, request.over, reply.outcome(),
                     clock.now() - attempt.startedAt, reply.role(), reply.positionNs(), reply.report()));
@@ -289,6 +321,7 @@
         try {
             if (!request.over) {
                 request.over = true;
+                request.leftAt = clock.now();
                 feed(new ClientLeft(request.id));
                 request.attempts.forEach(attempt -> attempt.cut(Outcome.CANCELLED));
                 request.post(new Request.Left());
@@ -346,6 +379,9 @@
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("the decision module failed on " + event, e);
             long id = event instanceof Arrived a ? a.id() : event instanceof Answered a ? a.id() : 0;
+            if (event instanceof ListChanged) {
+                throw e; // half of it may have been taken in: whoever told it must tell it again
+            }
             if (open.containsKey(id)) {
                 end(id, new RespondError(id, EndReason.INTERNAL_ERROR), EndReason.INTERNAL_ERROR);
             }
@@ -383,7 +419,17 @@
     private void transmit(Transmit t) {
         Request request = open.get(t.id());
         int number = request.attempts.size();
-        Attempt attempt = new Attempt(t.store(), number, clock.now(), t.limitNs(), () -> mayWrite(request, number));
+        Attempt attempt = new Attempt(t.store(), number, clock.now(), t.limitNs(), new Permit() {
+            @Override
+            public boolean mayWrite() {
+                return Balancer.this.mayWrite(request, number);
+            }
+
+            @Override
+            public void written() {
+                wrote(request, number);
+            }
+        });
         if (number > 0) {
             counters.count(Counter.RETRIES);
         }
@@ -395,17 +441,35 @@
     private boolean mayWrite(Request request, int number) {
         lock.lock();
         try {
-            return counted(module.mayWrite(clock.now(), request.id, number));
+            long now = clock.now();
+            return gate.permits(request, request.attempts.get(number), module.mayWrite(now, request.id, number),
+                    goneIsAdvice(), now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void wrote(Request request, int number) {
+        lock.lock();
+        try {
+            gate.written(request, request.attempts.get(number), goneIsAdvice(),
+                    deployment.settings().rules().drainGraceNs(), clock.now());
         } finally {
             lock.unlock();
         }
     }
 
-    private boolean counted(Permission permission) {
-        if (permission != Permission.ALLOWED) {
-            counters.count(Counter.withheld(permission));
+    private boolean mayProbe(Attempt probe) {
+        lock.lock();
+        try {
+            return gate.permitsProbe(probe, goneIsAdvice(), clock.now());
+        } finally {
+            lock.unlock();
         }
-        return permission == Permission.ALLOWED;
+    }
+
+    private boolean goneIsAdvice() {
+        return deployment.settings().rules().goneIsAdvice();
     }
 
     private void end(long id, Action answer, EndReason reason) {
@@ -421,7 +485,9 @@
 
     private void inspect(long store) {
         counters.count(Counter.PROBES);
-        Attempt attempt = new Attempt(store, 0, clock.now(), deployment.connectTimeoutNs(), () -> true);
+        Attempt[] probe = new Attempt[1];
+        Attempt attempt = new Attempt(store, 0, clock.now(), deployment.connectTimeoutNs(), () -> mayProbe(probe[0]));
+        probe[0] = attempt;
         try {
             workers.execute(() -> probe(attempt));
         } catch (RejectedExecutionException e) {
--- a/pooler/src/main/java/holdmux/core/Deadlines.java
+++ b/pooler/src/main/java/holdmux/core/Deadlines.java
@@ -50,13 +50,16 @@
     /** Sweeps for ever; the body of the one thread. */
     public void run() {
         while (true) {
-            for (Runnable due : awaitDue()) {
-                try {
-                    due.run();
-                } catch (RuntimeException e) {
-                    Log.error("a deadline failed", e);
-                }
-            }
+            awaitDue().forEach(Deadlines::runOne);
+        }
+    }
+
+    /** Whatever one throws, an Error too, those behind it are run. */
+    static void runOne(Runnable due) {
+        try {
+            due.run();
+        } catch (Throwable e) {
+            Log.error("a deadline failed", e);
         }
     }
 
--- a/pooler/src/main/java/holdmux/core/Log.java
+++ b/pooler/src/main/java/holdmux/core/Log.java
@@ -13,7 +13,11 @@
     }
 
     public static void error(String words, Throwable cause) {
-        StackTraceElement[] trace = cause.getStackTrace();
-        System.err.println("error " + words + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
+        try {
+            StackTraceElement[] trace = cause.getStackTrace();
+            System.err.println("error " + words + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
+        } catch (OutOfMemoryError e) {
+            // whoever logs a fault goes on; there is no room for its line
+        }
     }
 }
--- a/pooler/src/main/java/holdmux/core/Request.java
+++ b/pooler/src/main/java/holdmux/core/Request.java
@@ -2,6 +2,7 @@
 
 import holdmux.decision.SplitterApi.Action;
 import holdmux.decision.SplitterApi.Consistency;
+import holdmux.decision.SplitterApi.Effect;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -30,6 +31,9 @@
     /** Attempts by number, and whether nothing more is owed; both under the balancer's lock. */
     final List<Attempt> attempts = new ArrayList<>(2);
     boolean over;
+    /** When its client left, 0 if it did not; how often its class may take effect, once that is known. */
+    long leftAt;
+    Effect effect = Effect.IDEMPOTENT;
 
     Request(long id, Call call) {
         this.id = id;
--- a/pooler/src/main/java/holdmux/core/Workers.java
+++ b/pooler/src/main/java/holdmux/core/Workers.java
@@ -1,5 +1,6 @@
 package holdmux.core;
 
+import holdmux.core.Counters.Counter;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
@@ -13,6 +14,9 @@
     /** An idle thread is kept through the lulls of a wave of requests. */
     private static final long KEEP_S = 10;
 
+    /** Between a lasting thread's fault and its next begin: no spin where the cause stays. */
+    private static final long RESTART_MS = 100;
+
     private final ThreadPoolExecutor pool;
 
     public Workers(int most) {
@@ -27,6 +31,38 @@
         return thread;
     }
 
+    /**
+     * A thread like {@link #thread} for work that goes on as long as the program: if it throws, an Error too, it is begun
+     * again after a short pause, with a line in the log and a counter.
+     */
+    public static Thread lasting(String name, Counters counters, Runnable work) {
+        return thread(name, () -> {
+            while (!ended(name, counters, work)) {
+                pause();
+            }
+        });
+    }
+
+    /** Whether the work came to an end of its own. */
+    private static boolean ended(String name, Counters counters, Runnable work) {
+        try {
+            work.run();
+            return true;
+        } catch (Throwable e) {
+            counters.count(Counter.THREAD_RESTARTS);
+            Log.error("thread " + name + " failed and begins again", e);
+            return false;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(RESTART_MS);
+        } catch (InterruptedException e) {
+            // nothing interrupts these threads on purpose; the work begins again all the same
+        }
+    }
+
     /** Starts the work at once, or throws {@link RejectedExecutionException} at the cap. */
     @Override
     public void execute(Runnable work) {
--- a/pooler/src/main/java/holdmux/decision/Permission.java
+++ b/pooler/src/main/java/holdmux/decision/Permission.java
@@ -7,6 +7,8 @@
     REQUEST_OVER,
     /** It may have run and may not run again, or not any more: the window for repeats is over. */
     NOT_REPEATABLE,
+    /** The attempt's time is over. */
+    TIME_OVER,
     /** Discovery or the operators have the server draining: it finishes what it has and takes nothing new. */
     SERVER_DRAINING,
     /** Discovery has removed the server, or it is in another group by now. */
--- a/pooler/src/main/java/holdmux/management/StateFile.java
+++ b/pooler/src/main/java/holdmux/management/StateFile.java
@@ -2,8 +2,10 @@
 
 import holdmux.core.Log;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -49,13 +51,25 @@
                 StandardOpenOption.CREATE, StandardOpenOption.WRITE); FileLock held = lock.lock()) {
             Orders next = by.apply(read());
             Path whole = file.resolveSibling(file.getFileName() + ".new");
-            Files.writeString(whole, next.encode());
+            write(whole, next.encode());
             Files.move(whole, file, StandardCopyOption.ATOMIC_MOVE);
             orders = next;
             return next;
         }
     }
 
+    /** Writes a file that outlives the machine's end: what is not synced may be empty behind the move. */
+    private static void write(Path to, String text) throws IOException {
+        try (FileChannel out = FileChannel.open(to, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                out.write(bytes);
+            }
+            out.force(true);
+        }
+    }
+
     private Orders read() {
         if (file == null || !Files.exists(file)) {
             return Orders.NONE;
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -113,7 +113,7 @@
             drop();
         } catch (IOException e) {
             leave(); // the client is gone, or was told to go
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             counters.count(Counter.INTERNAL_ERRORS);
             Log.error("a client could not be read", e);
             leave();
@@ -305,7 +305,7 @@
                 answer(turn);
             } catch (IOException e) {
                 leave(); // nobody is left to be told
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 counters.count(Counter.INTERNAL_ERRORS);
                 Log.error("an answer failed here", e);
                 leave();
--- a/pooler/src/main/java/holdmux/pg/Listener.java
+++ b/pooler/src/main/java/holdmux/pg/Listener.java
@@ -58,13 +58,15 @@
         while (!stopping) {
             acceptOne();
         }
-        server.setSoTimeout(EMPTY_MS);
-        long by = System.nanoTime() + MOST_EMPTYING_MS * Clock.MS;
-        while (acceptOne() && System.nanoTime() < by) {
-            // the next one
+        try (server) {
+            server.setSoTimeout(EMPTY_MS);
+            long by = System.nanoTime() + MOST_EMPTYING_MS * Clock.MS;
+            while (acceptOne() && System.nanoTime() < by) {
+                // the next one
+            }
+        } finally {
+            closed.countDown();
         }
-        server.close();
-        closed.countDown();
     }
 
     /** False if nobody came. */
@@ -76,6 +78,10 @@
         } catch (IOException e) {
             Log.error("a client could not be accepted", e);
             pause(); // where no descriptor is left the next one fails as well
+        } catch (RuntimeException | Error e) { // nobody else would accept the next client
+            context.counters().count(Counter.INTERNAL_ERRORS);
+            Log.error("a client could not be accepted, by a fault here", e);
+            pause();
         }
         return true;
     }
--- a/pooler/src/main/java/holdmux/pg/PgUpstream.java
+++ b/pooler/src/main/java/holdmux/pg/PgUpstream.java
@@ -5,6 +5,7 @@
 import holdmux.core.Attempt;
 import holdmux.core.Clock;
 import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Reply;
@@ -38,7 +39,7 @@
     public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
         PgValue[] served = new PgValue[1];
         long limitMs = Math.max(1, attempt.limitNs / Clock.MS);
-        Reply reply = servers.talk(attempt, query(statement.text(limitMs)), answer -> {
+        Reply reply = servers.talk(attempt, query(statement.text(limitMs)), Counter.SENDS_OUTDATED, answer -> {
             Reply heard = answer.reply();
             if (heard.outcome() == Outcome.OK) {
                 served[0] = new PgValue(answer, servers);
@@ -52,7 +53,7 @@
 
     @Override
     public Reply probe(Attempt attempt) {
-        return servers.talk(attempt, query(List.of(ByteBuffer.wrap(PROBE))), answer -> {
+        return servers.talk(attempt, query(List.of(ByteBuffer.wrap(PROBE))), Counter.PROBES_WITHHELD, answer -> {
             servers.giveBack(answer); // an endless one goes with its connection: no report is that long
             return answer.probeReply();
         });
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -41,7 +41,12 @@
         this.address = address;
         this.buffers = buffers;
         channel = SocketChannel.open();
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            close(); // its descriptor would be lost
+            throw e;
+        }
     }
 
     /**
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -58,8 +58,12 @@
         idle = new IdleConnections<>(fleet, clock, deadlines, counters, slots, () -> deployment.get().connIdleNs());
     }
 
-    /** One use of a connection to the attempt's server; blocks until it has ended one way or another. */
-    Reply talk(Attempt attempt, List<ByteBuffer> query, Function<Answer, Reply> heard) {
+    /**
+     * One use of a connection to the attempt's server; blocks until it has ended one way or another.
+     *
+     * @param withheld counts queries that were not written, since what they were decided on no longer held
+     */
+    Reply talk(Attempt attempt, List<ByteBuffer> query, Counter withheld, Function<Answer, Reply> heard) {
         ServerConnection connection = null;
         boolean clean = false;
         boolean kept = false;
@@ -83,7 +87,7 @@
             }
             attempt.connected();
             if (!connection.send(query, attempt::stands)) {
-                counters.count(Counter.SENDS_OUTDATED);
+                counters.count(withheld);
                 clean = attempt.complete();
                 return Reply.of(Outcome.MOOT);
             }
--- a/pooler/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/pooler/src/main/java/holdmux/upgrade/Upgrade.java
@@ -78,7 +78,7 @@
             begin(older);
             Log.info("upgrade: an older process serves here");
         }
-        Workers.thread("upgrade", () -> follow(older)).start();
+        Workers.lasting("upgrade", counters, () -> follow(older)).start();
         return older != null;
     }
 
--- /dev/null
+++ b/pooler/src/test/java/holdmux/ReloaderTest.java
@@ -0,0 +1,68 @@
+package holdmux;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import holdmux.config.Config;
+import holdmux.config.ConfigException;
+import holdmux.config.ConfigTest;
+import holdmux.core.Clock;
+import holdmux.core.Counters;
+import holdmux.core.Counters.Counter;
+import holdmux.core.Workers;
+import holdmux.discovery.Watch;
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(20)
+class ReloaderTest {
+    /** Nobody sends the signal twice: a file that the system could not read used to be given up, and discovery's move with it. */
+    @Test
+    void aFileThatCannotBeReadForAMomentIsReadAgain(@TempDir Path folder) throws Exception {
+        try (ServerSocket free = new ServerSocket(0)) {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, ConfigTest.sample().replace("127.0.0.1:5433", "127.0.0.1:" + free.getLocalPort()));
+            Config config = Config.load(Map.of("BALANCER_CONFIG", file.toString()), 0);
+            Pooler pooler = new Pooler(config, List.of(), new Clock());
+            Counters counters = pooler.services().counters();
+            Watch watch = new Watch(config.discovery(), config.known(), 1, counters, list -> { });
+            Semaphore hangUps = new Semaphore(0);
+            Deque<Exception> faults = new ArrayDeque<>(List.of(new FileNotFoundException("Too many open files"),
+                    new IOException("Input/output error"), new ConfigException("not to be used")));
+            InetSocketAddress moved = new InetSocketAddress("127.0.0.1", 8_501);
+            Workers.lasting("reload", counters, new Reloader(hangUps, config, new Steered(pooler.services(), watch), watch,
+                    counters, inForce -> {
+                        Exception fault = faults.poll();
+                        if (fault != null) {
+                            if (fault instanceof IOException io) {
+                                throw io;
+                            }
+                            throw (RuntimeException) fault;
+                        }
+                        return Config.load(Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_DISCOVERY", "127.0.0.1:8501"), 0);
+                    })).start();
+            hangUps.release();
+            while (counters.get(Counter.RELOADS_REFUSED) == 0) {
+                Thread.sleep(1);
+            }
+            assertEquals(2, counters.get(Counter.RELOAD_RETRIES));
+            assertEquals(config.discovery(), watch.agent(), "what is no configuration is refused at once");
+            hangUps.release();
+            while (counters.get(Counter.RELOADS) == 0) {
+                Thread.sleep(1);
+            }
+            assertEquals(moved, watch.agent());
+        }
+    }
+}
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -36,6 +36,10 @@
 
         @Override
         public Attempted attempt(Attempt attempt, Statement statement, Value.Form wanted) {
+            if (fault != null) {
+                throw fault;
+            }
+            assertTrue(attempt.stands());
             sentTo.add(attempt.store);
             attempt.carriedBy(() -> { });
             attempt.written();
@@ -74,6 +78,7 @@
 
     /** Who carries out attempts now, what it serves, and how often that was closed. */
     private Script upstream = new Script();
+    private Error fault;
     private int closed;
     private Value value = () -> closed++;
     private final Clock clock = new Clock();
@@ -296,4 +301,24 @@
         assertEquals(List.of("told 7", "served"), order);
         assertTrue(balancer.writes().stream().anyMatch(w -> w.session() == 7 && w.positionNs() > 0));
     }
+
+    /** A fault of this program, an Error too, used to end a request's thread with no answer to its client. */
+    @Test
+    void aFaultHereIsAnsweredAsFailed() {
+        fault = new StackOverflowError();
+        Script script = new Script();
+        life(balancer.taken(new Request.Call("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
+        assertEquals(List.of("failed"), script.told);
+        assertEquals(1, counters.get(Counter.INTERNAL_ERRORS));
+    }
+
+    /** Each send asked before it went out, and none broke a rule. */
+    @Test
+    void noSendOfALifeBreaksARule() {
+        Script script = new Script(Outcome.RESET, Outcome.OK);
+        life(balancer.taken(new Request.Call("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
+        assertEquals(List.of("served"), script.told);
+        assertEquals(0, counters.get(Counter.VIOLATIONS_UNPERMITTED));
+        assertEquals(1, counters.get(Counter.RETRIES));
+    }
 }
--- a/pooler/src/test/java/holdmux/core/DeadlinesTest.java
+++ b/pooler/src/test/java/holdmux/core/DeadlinesTest.java
@@ -23,4 +23,12 @@
         deadlines.takeDue(99).forEach(Runnable::run);
         assertEquals(List.of("a", "b", "c"), ran);
     }
+
+    /** What is due behind one that throws an Error is run all the same. */
+    @Test
+    void anErrorEndsOnlyTheDeadlineThatThrewIt() {
+        Deadlines.runOne(() -> {
+            throw new StackOverflowError();
+        });
+    }
 }
--- /dev/null
+++ b/pooler/src/test/java/holdmux/core/SendGateTest.java
@@ -0,0 +1,97 @@
+package holdmux.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.core.Counters.Counter;
+import holdmux.decision.Permission;
+import holdmux.decision.SplitterApi.Availability;
+import holdmux.decision.SplitterApi.Consistency;
+import holdmux.decision.SplitterApi.Effect;
+import holdmux.decision.SplitterApi.ListChanged;
+import holdmux.decision.SplitterApi.ListMode;
+import holdmux.decision.SplitterApi.Listing;
+import holdmux.decision.SplitterApi.Outcome;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SendGateTest {
+    private static final long MS = Clock.MS, GRACE = 2_000 * MS, STORE = 7;
+
+    private final Counters counters = new Counters();
+    private final SendGate gate = new SendGate(counters, new Fleet(List.of("north"), List.of("std")));
+    private final Request request = new Request(1,
+            new Request.Call("save-quote", Consistency.WRITE, false, 1_000 * MS, 0, 5, 2));
+
+    private static ListChanged list(ListMode mode, Availability health) {
+        return new ListChanged(mode, 1, List.of(new Listing(STORE, 2, 0, 0, health, true, 0, 1)));
+    }
+
+    private Attempt attempt() {
+        Attempt attempt = new Attempt(STORE, request.attempts.size(), 1, 1_000 * MS, () -> true);
+        request.attempts.add(attempt);
+        return attempt;
+    }
+
+    private boolean permits(Attempt attempt, Permission byModule, long now) {
+        return gate.permits(request, attempt, byModule, false, now);
+    }
+
+    /** Whatever the module says, nothing goes to a server that was told to drain, was removed, or is left out of a whole list. */
+    @Test
+    void nothingGoesToAServerThatWasToldToStop() {
+        gate.told(list(ListMode.FULL, Availability.READY), 1);
+        assertTrue(permits(attempt(), Permission.ALLOWED, 2));
+        gate.told(list(ListMode.DELTA, Availability.DRAINING), 3);
+        assertFalse(permits(attempt(), Permission.ALLOWED, 4));
+        assertFalse(gate.permitsProbe(attempt(), false, 4), "a probe neither");
+        assertEquals(1, counters.get(Counter.GATE_DISAGREEMENTS));
+        assertEquals(2, counters.get(Counter.WITHHELD_SERVER_DRAINING));
+        gate.told(list(ListMode.DELTA, Availability.READY), 5);
+        assertTrue(permits(attempt(), Permission.ALLOWED, 6));
+        gate.told(new ListChanged(ListMode.FULL, 2, List.of()), 7);
+        assertFalse(permits(attempt(), Permission.ALLOWED, 8));
+        assertTrue(gate.permits(request, attempt(), Permission.ALLOWED, true, 8), "where a removal is advice");
+    }
+
+    @Test
+    void nothingGoesOutForARequestThatIsOverOrLate() {
+        gate.told(list(ListMode.FULL, Availability.READY), 1);
+        assertFalse(permits(attempt(), Permission.DATA_TOO_OLD, 2), "the module has the first word");
+        assertFalse(permits(attempt(), Permission.ALLOWED, 1 + 1_000 * MS), "its time is over");
+        request.over = true;
+        assertFalse(permits(attempt(), Permission.ALLOWED, 2));
+        assertEquals(1, counters.get(Counter.WITHHELD_REQUEST_OVER));
+        assertEquals(1, counters.get(Counter.WITHHELD_TIME_OVER));
+    }
+
+    /** What goes out past a rule by a fault elsewhere is seen at run time. */
+    @Test
+    void whatBreaksARuleIsCounted() {
+        gate.told(list(ListMode.FULL, Availability.READY), 1);
+        gate.written(request, attempt(), false, GRACE, 2);
+        assertEquals(1, counters.get(Counter.VIOLATIONS_UNPERMITTED), "nobody asked");
+
+        Attempt late = attempt();
+        assertTrue(permits(late, Permission.ALLOWED, 3));
+        gate.told(list(ListMode.DELTA, Availability.DRAINING), 4);
+        gate.written(request, late, false, GRACE, 5);
+        assertEquals(0, counters.get(Counter.VIOLATIONS_DRAIN), "within the grace");
+        late.permittedAt = 5 + GRACE;
+        request.leftAt = 5;
+        gate.written(request, late, false, GRACE, 6 + GRACE);
+        assertEquals(1, counters.get(Counter.VIOLATIONS_DRAIN));
+        assertEquals(1, counters.get(Counter.VIOLATIONS_CLIENT_GONE));
+
+        request.effect = Effect.AT_MOST_ONCE;
+        late.written();
+        Attempt second = attempt();
+        second.permittedAt = 1;
+        gate.written(request, second, false, GRACE, 2);
+        assertEquals(1, counters.get(Counter.VIOLATIONS_REPEAT));
+        late.ended(Outcome.FULL);
+        gate.written(request, second, false, GRACE, 2);
+        assertEquals(1, counters.get(Counter.VIOLATIONS_REPEAT), "the first was proven not to have run");
+    }
+}
--- a/standins/src/main/java/holdmux/standins/FlightQuoteServer.java
+++ b/standins/src/main/java/holdmux/standins/FlightQuoteServer.java
@@ -306,6 +306,10 @@
 
     /** Past the pipeline, whose HTTP/2 would wait for open streams to end. */
     private static void close(Channel channel) {
+        if (!channel.isRegistered()) {
+            channel.unsafe().closeForcibly(); // just accepted: it has no loop yet, and nothing is open on it
+            return;
+        }
         channel.eventLoop().execute(() -> channel.unsafe().close(channel.voidPromise()));
     }
 
