--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -5,6 +5,7 @@
 import holdmux.app.bench.PolicyBench;
 import holdmux.app.demo.Demo;
 import holdmux.app.drill.PolicyDrill;
+import holdmux.app.soak.FaultSoak;
 import holdmux.config.Config;
 import holdmux.config.ConfigException;
 import holdmux.core.Part;
@@ -29,7 +30,7 @@
 /** The command line: names, options, help and exit codes; what a command does stands elsewhere. */
 @Command(name = "holdmux", description = "Routes each request to the one server of its group that may answer it.",
         subcommands = {Commands.ServeCommand.class, Commands.SimHostCommand.class, Commands.DemoCommand.class,
-            Commands.BenchCommand.class, Commands.DrillCommand.class, PolicyCommands.class, StoreCommands.class, Commands.VersionCommand.class,
+            Commands.BenchCommand.class, Commands.DrillCommand.class, Commands.SoakCommand.class, PolicyCommands.class, StoreCommands.class, Commands.VersionCommand.class,
             HelpCommand.class},
         synopsisSubcommandLabel = "COMMAND", footer = {"", "Exit codes: 0 done, 1 a fault, 2 wrong usage."})
 final class Commands {
@@ -149,6 +150,39 @@
         }
     }
 
+    @Command(name = "soak", mixinStandardHelpOptions = true,
+            description = "Runs poolers in processes of their own under random faults that overlap, and judges them by the rules.")
+    static final class SoakCommand implements Callable<Integer> {
+        @Option(names = "--poolers", paramLabel = "N", defaultValue = "10",
+                description = "Processes, 10 to 40 (default: ${DEFAULT-VALUE}).")
+        private int poolers;
+
+        @Option(names = "--for", paramLabel = "DURATION", defaultValue = "25s", converter = DurationConverter.class,
+                description = "How long faults come, for each seed (default: ${DEFAULT-VALUE}).")
+        private Duration length;
+
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "The first seed.")
+        private long seed;
+
+        @Option(names = "--seeds", paramLabel = "N", defaultValue = "1", description = "How many seeds, one after the other.")
+        private int seeds;
+
+        @Option(names = "--syscalls", description = "The poolers' system calls on sockets fail too; needs a C compiler.")
+        private boolean syscalls;
+
+        @Override
+        public Integer call() throws Exception {
+            int broken = 0;
+            for (int i = 0; i < seeds; i++) {
+                try (FaultSoak soak = new FaultSoak(System.out)) {
+                    broken += soak.run(poolers, (int) length.toSeconds(), seed + i, syscalls).isEmpty() ? 0 : 1;
+                }
+            }
+            System.out.println(seeds - broken + " passed, " + broken + " failed");
+            return broken == 0 ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
+        }
+    }
+
     static final class DurationConverter implements ITypeConverter<Duration> {
         @Override
         public Duration convert(String text) {
--- a/app/src/main/java/holdmux/app/demo/PgClient.java
+++ b/app/src/main/java/holdmux/app/demo/PgClient.java
@@ -13,6 +13,9 @@
 
 /** A client of the PostgreSQL front, as much of one as the demo and the drill need: one simple query at a time. */
 public final class PgClient implements QuoteClient {
+    /** The name of a row's only column. */
+    public static final String VALUE = "data";
+
     private final Socket socket = new Socket();
     private final DataInputStream in;
     private final DataOutputStream out;
@@ -52,15 +55,23 @@
         }
     }
 
-    /** Asks; the SQLSTATE of an error or "", and rows of two texts, as SHOW STATS gives, into {@code rows}. */
+    /**
+     * Asks; the SQLSTATE of an error or "", and into {@code rows} rows of two texts, as SHOW STATS gives, or one of one
+     * under the name {@link #VALUE}.
+     */
     public String query(String sql, Map<String, String> rows) throws IOException {
+        send(sql);
+        return answer(rows);
+    }
+
+    /** Asks, and does not wait for the answer. */
+    public void send(String sql) throws IOException {
         byte[] text = sql.getBytes(StandardCharsets.UTF_8);
         out.writeByte('Q');
         out.writeInt(5 + text.length);
         out.write(text);
         out.writeByte(0);
         out.flush();
-        return answer(rows);
     }
 
     private String answer(Map<String, String> rows) throws IOException {
@@ -72,8 +83,9 @@
                 String fields = StandardCharsets.UTF_8.decode(body).toString();
                 int at = fields.indexOf("\0C");
                 sqlState = fields.substring(at + 2, fields.indexOf('\0', at + 2));
-            } else if (type == 'D' && body.getShort() == 2) {
-                rows.put(text(body), text(body));
+            } else if (type == 'D') {
+                boolean pair = body.getShort() == 2;
+                rows.put(pair ? text(body) : VALUE, text(body));
             } else if (type == 'Z') {
                 return sqlState;
             }
--- a/app/src/main/java/holdmux/app/drill/PoolerProcess.java
+++ b/app/src/main/java/holdmux/app/drill/PoolerProcess.java
@@ -6,7 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.json.JSONObject;
 
 /** One pooler of a drill: the program in a process of its own, with a folder that outlives it. */
@@ -14,41 +16,57 @@
     /** Any start, on a machine that starts ten at once. */
     private static final long START_MS = 60_000;
 
-    final String name;
-    final int port;
+    public final String name;
+    public final int port;
     private final Path folder;
     private final List<String> flags;
     /** What the program is started by, as a shell that sets limits; mostly nothing. */
     private List<String> by = List.of();
     private List<String> machine = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx160m", "-XX:-UsePerfData");
+    private final Map<String, String> environment = new HashMap<>();
     private Process process;
 
     /** {@code flags}: those of {@code serve}; the folder and the configuration are added here. */
-    PoolerProcess(String name, int port, Path folder, String config, List<String> flags) throws IOException {
+    public PoolerProcess(String name, int port, Path folder, String config, List<String> flags) throws IOException {
         this.name = name;
         this.port = port;
         this.folder = Files.createDirectories(folder);
         this.flags = flags;
+        configure(config);
+    }
+
+    /** Writes the configuration file anew, for the next start or SIGHUP. */
+    public void configure(String config) throws IOException {
         // positions of one fleet, seeds of each: the order in which it asks the store follows the seed
         JSONObject own = new JSONObject(config).put("name", name).put("seed", Integer.toHexString(name.hashCode()));
         Files.writeString(folder.resolve("config.json"), own.toString());
     }
 
     /** From its next start on one of the shell's limits holds: {@code -f 200} for files of 200 KiB, a disk that fills up. */
-    void limit(String limit) {
+    public void limit(String limit) {
         by = List.of("sh", "-c", "ulimit " + limit + "; exec \"$@\"", "sh");
     }
 
+    /** From its next start on the process has this variable in its environment. */
+    public void environment(String variable, String value) {
+        environment.put(variable, value);
+    }
+
+    /** What it has written to its log. */
+    public String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+
     /** From its next start on the virtual machine has these flags. */
-    void machine(List<String> flags) {
+    public void machine(List<String> flags) {
         machine = List.copyOf(flags);
     }
 
-    long pid() {
+    public long pid() {
         return process.pid();
     }
 
-    void start() throws IOException {
+    public void start() throws IOException {
         List<String> command = new ArrayList<>(by);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(machine);
@@ -61,15 +79,16 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         builder.environment().put("BALANCER_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().putAll(environment);
         process = builder.start();
     }
 
-    boolean isAlive() {
+    public boolean isAlive() {
         return process != null && process.isAlive();
     }
 
     /** kill -9. */
-    void kill() {
+    public void kill() {
         if (process != null) {
             process.destroyForcibly();
             process.onExit().join();
@@ -82,7 +101,7 @@
     }
 
     /** Waits until it takes clients. */
-    void awaitListening() throws InterruptedException, IOException {
+    public void awaitListening() throws InterruptedException, IOException {
         long by = System.nanoTime() + START_MS * 1_000_000;
         while (System.nanoTime() < by && isAlive()) {
             try (PgClient client = talk()) {
--- /dev/null
+++ b/app/src/main/java/holdmux/app/soak/SoakClient.java
@@ -0,0 +1,192 @@
+package holdmux.app.soak;
+
+import holdmux.app.demo.PgClient;
+import holdmux.app.soak.SoakAudit.Asked;
+import holdmux.standins.Fault;
+import holdmux.standins.QuoteGroup;
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+/** One client of one pooler: one request after the other, in a session of its own; some it leaves early. */
+final class SoakClient implements Runnable {
+    /** How a request is written and what it may wait: a class of the stand-ins' configuration. */
+    private enum Kind {
+        RATE("rate-lookup", 1_200), OWN("my-quotes", 1_000), HISTORY("history", 1_500), CHECK("quote-check", 2_000),
+        WRITE("save-quote", 3_000);
+
+        final String className;
+        final int mostWaitMs;
+
+        Kind(String className, int mostWaitMs) {
+            this.className = className;
+            this.mostWaitMs = mostWaitMs;
+        }
+    }
+
+    private static final int PAUSE_MS = 25, LEAST_WAIT_MS = 300, LEAVES_ONE_IN = 15, FAULTY_ONE_IN = 20, GRACE_MS = 1_500;
+
+    private final SoakPooler pooler;
+    private final String name;
+    private final QuoteGroup group;
+    private final SoakAudit audit;
+    private final SplittableRandom random;
+    private final BooleanSupplier over;
+    private PgClient connection;
+    /** What the session's reads may show: its last write that was acknowledged since its pooler's start, or any that may
+     * have run, or run late. */
+    private String acknowledged;
+    private final Set<String> uncertain = new HashSet<>();
+    private int incarnation, kills;
+    private int count;
+
+    SoakClient(SoakPooler pooler, int number, QuoteGroup group, SoakAudit audit, long seed, BooleanSupplier over) {
+        this.pooler = pooler;
+        name = pooler.name + "-" + number;
+        this.group = group;
+        this.audit = audit;
+        random = new SplittableRandom(seed);
+        this.over = over;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!over.getAsBoolean()) {
+                askOne();
+                Thread.sleep(random.nextInt(2 * PAUSE_MS));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            disconnect();
+        }
+    }
+
+    private void askOne() throws InterruptedException {
+        if (incarnation != pooler.incarnation()) {
+            incarnation = pooler.incarnation();
+            acknowledged = null;
+        }
+        kills = pooler.kills();
+        if (connection == null && !connect()) {
+            return;
+        }
+        Kind kind = random.nextInt(4) == 0 ? Kind.WRITE : Kind.values()[random.nextInt(Kind.values().length - 1)];
+        int waitMs = LEAST_WAIT_MS + random.nextInt(kind.mostWaitMs - LEAST_WAIT_MS);
+        String id = name + "-" + ++count;
+        if (random.nextInt(FAULTY_ONE_IN) == 0) {
+            Fault.Kind fault = Fault.Kind.values()[random.nextInt(Fault.Kind.values().length)];
+            boolean provesNoRun = fault == Fault.Kind.FULL || fault == Fault.Kind.MISS;
+            group.plan(id, Fault.of(fault, provesNoRun || random.nextBoolean() ? Fault.Phase.BEFORE_RUN : Fault.Phase.AFTER_RUN));
+        }
+        if (random.nextInt(LEAVES_ONE_IN) == 0) {
+            leave(kind, id, waitMs);
+        } else {
+            ask(kind, id, waitMs);
+        }
+    }
+
+    private boolean connect() throws InterruptedException {
+        try {
+            connection = new PgClient(pooler.port(), Kind.WRITE.mostWaitMs + GRACE_MS);
+            return true;
+        } catch (IOException e) {
+            Thread.sleep(PAUSE_MS);
+            return false;
+        }
+    }
+
+    private void disconnect() {
+        try {
+            if (connection != null) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            // closing is all that was wanted
+        }
+        connection = null;
+    }
+
+    /** Sends a request and closes the connection a little later, whatever has come by then. */
+    private void leave(Kind kind, String id, int waitMs) throws InterruptedException {
+        long sent = System.nanoTime();
+        try {
+            connection.send(sql(kind, id, waitMs));
+            Thread.sleep(random.nextInt(60));
+        } catch (IOException e) {
+            // it may have been on its way: it has left all the same
+        }
+        disconnect();
+        if (kind == Kind.WRITE) {
+            uncertain.add(id);
+        }
+        audit.asked(new Asked(id, pooler.name, kind == Kind.WRITE, sent, waitMs * 1_000_000L, 0, System.nanoTime(), false));
+    }
+
+    private void ask(Kind kind, String id, int waitMs) {
+        boolean write = kind == Kind.WRITE;
+        Map<String, String> rows = new HashMap<>();
+        long sent = System.nanoTime();
+        long answered = 0;
+        boolean excused = false;
+        try {
+            String sqlState = connection.query(sql(kind, id, waitMs), rows);
+            answered = System.nanoTime();
+            if (write) {
+                wrote(id, sqlState);
+            } else if (kind == Kind.OWN && sqlState.isEmpty()) {
+                read(id, rows.get(PgClient.VALUE));
+            }
+        } catch (IOException e) {
+            excused = !(e instanceof SocketTimeoutException) && isExcused(id);
+            disconnect();
+            if (write) {
+                uncertain.add(id);
+            }
+        }
+        audit.asked(new Asked(id, pooler.name, write, sent, waitMs * 1_000_000L, answered, 0, excused));
+    }
+
+    /** A close without an answer: the pooler was killed, or ended with a close that crossed the request. */
+    private boolean isExcused(String id) {
+        boolean sentOn = group.arrivals().stream().anyMatch(arrival -> arrival.id().equals(id));
+        boolean sameStart = pooler.process().isAlive() && incarnation == pooler.incarnation();
+        return pooler.isKilled() || killedSince() || !sameStart && !sentOn || pooler.isTerminating() && !sentOn;
+    }
+
+    private boolean killedSince() {
+        return kills != pooler.kills();
+    }
+
+    private void wrote(String id, String sqlState) {
+        if (sqlState.isEmpty()) {
+            acknowledged = id;
+        } else if (!sqlState.equals("53300") && !sqlState.equals("57P03")) {
+            uncertain.add(id);
+        }
+    }
+
+    private void read(String id, String value) {
+        boolean sameStart = incarnation == pooler.incarnation() && kills == pooler.kills();
+        if (acknowledged != null && sameStart && !value.equals(acknowledged) && !uncertain.contains(value)) {
+            audit.broken("stale: " + id + " read " + value + " where " + acknowledged + " or " + uncertain + " may be read");
+        }
+    }
+
+    private String sql(Kind kind, String id, int waitMs) {
+        String figures = " /* id=" + id + ",c=" + kind.className + ",d=" + waitMs + ",cluster=1 */";
+        if (kind == Kind.WRITE) {
+            String value = HexFormat.of().formatHex(id.getBytes(StandardCharsets.UTF_8));
+            return "INSERT INTO facts (code, data) VALUES ('" + name + "', '\\x" + value + "') RETURNING data" + figures;
+        }
+        return "SELECT data FROM facts WHERE code = '" + name + "'" + figures;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/holdmux/app/soak/SoakPooler.java
@@ -0,0 +1,130 @@
+package holdmux.app.soak;
+
+import holdmux.app.demo.PgClient;
+import holdmux.app.drill.PoolerProcess;
+import holdmux.standins.FaultRelay;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONObject;
+
+/** One pooler of the soak: its process, two ways to discovery of its own, and how often it has started. */
+final class SoakPooler implements AutoCloseable {
+    private static final int STATS_TRIES = 50;
+    private static final long AGAIN_MS = 100;
+
+    final String name;
+    private final PoolerProcess process;
+    private final JSONObject config;
+    private final FaultRelay[] discovery = new FaultRelay[2];
+    private int following;
+    private volatile int incarnation;
+    private volatile int kills;
+    private volatile boolean killed, terminating;
+
+    SoakPooler(String name, int port, Path folder, String config, InetSocketAddress agent) throws IOException {
+        this.name = name;
+        this.config = new JSONObject(config);
+        discovery[0] = new FaultRelay(agent);
+        discovery[1] = new FaultRelay(agent);
+        process = new PoolerProcess(name, port, folder.resolve(name), follow(0), List.of());
+    }
+
+    private String follow(int which) {
+        following = which;
+        return config.put("discovery", "127.0.0.1:" + discovery[which].address().getPort()).toString();
+    }
+
+    PoolerProcess process() {
+        return process;
+    }
+
+    int port() {
+        return process.port;
+    }
+
+    /** The way to discovery that it follows now. */
+    synchronized FaultRelay discovery() {
+        return discovery[following];
+    }
+
+    /** How often it was started: what a session wrote counts within one start only. */
+    int incarnation() {
+        return incarnation;
+    }
+
+    /** How often SIGKILL ended it, without SIGTERM before. */
+    int kills() {
+        return kills;
+    }
+
+    /** Whether SIGTERM has told it to end. */
+    boolean isTerminating() {
+        return terminating;
+    }
+
+    /** Whether SIGKILL ended it, without SIGTERM before. */
+    boolean isKilled() {
+        return killed;
+    }
+
+    void start() throws IOException, InterruptedException {
+        process.start();
+        process.awaitListening();
+        incarnation++;
+        killed = false;
+        terminating = false;
+    }
+
+    /** SIGKILL. */
+    void kill() {
+        killed = true;
+        kills++;
+        process.kill();
+    }
+
+    /** SIGTERM, and SIGKILL after this time if it is still there; whether it ended by itself. */
+    boolean end(long killAfterMs) throws IOException, InterruptedException {
+        terminating = true;
+        process.signal("TERM");
+        long by = System.nanoTime() + killAfterMs * 1_000_000;
+        while (process.isAlive() && System.nanoTime() < by) {
+            Thread.sleep(5);
+        }
+        boolean ended = !process.isAlive();
+        process.kill();
+        return ended;
+    }
+
+    /** A new configuration: the other way to discovery; SIGHUP. */
+    synchronized void moveDiscovery() throws IOException, InterruptedException {
+        process.configure(follow(1 - following));
+        process.signal("HUP");
+    }
+
+    /** Its counters. */
+    Map<String, String> counters() throws IOException, InterruptedException {
+        Map<String, String> counters = new HashMap<>();
+        for (int i = 0; counters.isEmpty(); i++) {
+            try (PgClient client = process.talk()) {
+                client.query("SHOW STATS", counters);
+            } catch (IOException e) {
+                if (i == STATS_TRIES) {
+                    throw e;
+                }
+                Thread.sleep(AGAIN_MS);
+            }
+        }
+        return counters;
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.kill();
+        discovery[0].close();
+        discovery[1].close();
+    }
+}
