Keep a stalled log, lost closes and failing system calls at a start from hiding news

Same class as the slow discovery, found by reading and by the soak's shim: - Log wrote to standard error on the caller's thread: where nobody reads it, the watch (and every other thread with a line) stood still for good. On the build before, ServeTest.aLogThatNobodyReadsHoldsUpNothing hung for 19 minutes on its agent's accept until it was ended by hand: no call to discovery came any more.

--- a/app/src/main/java/holdmux/app/Commands.java
+++ b/app/src/main/java/holdmux/app/Commands.java
@@ -157,7 +157,7 @@
                 description = "Processes, 10 to 40 (default: ${DEFAULT-VALUE}).")
         private int poolers;
 
-        @Option(names = "--for", paramLabel = "DURATION", defaultValue = "25s", converter = DurationConverter.class,
+        @Option(names = "--for", paramLabel = "DURATION", defaultValue = "30s", converter = DurationConverter.class,
                 description = "How long faults come, for each seed (default: ${DEFAULT-VALUE}).")
         private Duration length;
 
--- a/app/src/main/java/holdmux/app/soak/FaultSoak.java
+++ b/app/src/main/java/holdmux/app/soak/FaultSoak.java
@@ -30,12 +30,12 @@
 public final class FaultSoak implements AutoCloseable {
     /** What may happen; each comes at random times and lasts a random while. */
     private enum Trouble {
-        DISCOVERY_SLOW, DISCOVERY_SLOW_AGAIN, DISCOVERY_SILENT, DISCOVERY_RESET, DISCOVERY_MOVES, SERVER_SILENT, SERVER_RESET, SERVER_SLOW,
+        DISCOVERY_SLOW, DISCOVERY_SLOW_FOR_LONG, DISCOVERY_SILENT, DISCOVERY_RESET, DISCOVERY_MOVES, SERVER_SILENT, SERVER_RESET, SERVER_SLOW,
         DRAIN, DRAIN_AGAIN, REMOVE, NEW_PRIMARY, KILL, TERM, PAUSE
     }
 
     private static final int SERVERS = 8, LEADERS = 3, CLIENTS = 3, MEMORY_MB = 192, SOCKETS = 1_024;
-    private static final int PAUSE_MS = 100, LONGEST_GAP_MS = 400, SLOWEST_WAY_MS = 1_200, MOST_STOPPED = 3, MOST_CUT = 2;
+    private static final int PAUSE_MS = 100, LONGEST_GAP_MS = 400, SLOWEST_WAY_MS = 1_200, LONG_MS = 8_000, MOST_STOPPED = 3, MOST_CUT = 2;
     /** SIGKILL comes as early as this after SIGTERM, for the longest deadline there is. */
     private static final long KILL_AFTER_MS = 3_700;
     private static final List<String> CLEAN = List.of("violations_unpermitted", "violations_drain", "violations_client_gone",
@@ -157,11 +157,11 @@
             SoakPooler pooler = poolers.get(random.nextInt(poolers.size()));
             String server = "s-" + (1 + random.nextInt(SERVERS));
             switch (trouble) {
-                case DISCOVERY_SLOW, DISCOVERY_SLOW_AGAIN -> alone(pooler, trouble, () -> {
-                    FaultRelay way = pooler.discovery();
-                    way.slow(random.nextInt(SLOWEST_WAY_MS));
-                    Thread.sleep(lastsMs);
-                    way.set(FaultRelay.Mode.PASS);
+                case DISCOVERY_SLOW -> alone(pooler, trouble, () -> slow(pooler, random.nextInt(SLOWEST_WAY_MS), lastsMs));
+                case DISCOVERY_SLOW_FOR_LONG -> alone(pooler, trouble, () -> {
+                    Future<Void> drain = threads.submit(happen(Trouble.DRAIN, lastsMs + LONG_MS / 2, random.split()));
+                    slow(pooler, SLOWEST_WAY_MS / 2 + random.nextInt(SLOWEST_WAY_MS / 2), LONG_MS + lastsMs);
+                    drain.get();
                 });
                 case DISCOVERY_SILENT -> alone(pooler, trouble, () -> deaf(pooler, FaultRelay.Mode.SILENT, lastsMs));
                 case DISCOVERY_RESET -> alone(pooler, trouble, () -> deaf(pooler, FaultRelay.Mode.RESET, lastsMs));
@@ -219,6 +219,14 @@
         audit.deaf(pooler.name, deafFrom, System.nanoTime());
     }
 
+    /** Discovery that answers late counts as one that can be reached. */
+    private static void slow(SoakPooler pooler, int eachWayMs, long lastsMs) throws InterruptedException {
+        FaultRelay way = pooler.discovery();
+        way.slow(eachWayMs);
+        Thread.sleep(lastsMs);
+        way.set(FaultRelay.Mode.PASS);
+    }
+
     private void cut(String server, FaultRelay.Mode mode, long lastsMs) throws InterruptedException {
         servers.get(server).set(mode);
         Thread.sleep(lastsMs);
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -11,6 +11,7 @@
 import holdmux.core.Log;
 import holdmux.core.Part;
 import holdmux.core.Services;
+import holdmux.core.SystemFaults;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.discovery.Watch;
@@ -59,9 +60,12 @@
         if (deaf) {
             Log.warn("started with SIGHUP ignored, as nohup does: the configuration cannot be taken up anew");
         }
-        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> Log.error("thread " + thread.getName() + " ended", e));
+        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> {
+            Log.error("thread " + thread.getName() + " ended", e);
+            Log.flush();
+        });
         Clock clock = new Clock();
-        Config config = Config.load(System.getenv(), clock.now());
+        Config config = load(clock.now());
         Pooler pooler = new Pooler(config, parts, clock);
         Services services = pooler.services();
         Counters counters = services.counters();
@@ -108,6 +112,13 @@
         pooler.run();
     }
 
+    /** The configuration; a file that the system cannot read for a moment is read again. */
+    private static Config load(long now) throws IOException {
+        AtomicReference<Config> config = new AtomicReference<>();
+        SystemFaults.retried("the configuration cannot be read", () -> config.set(Config.load(System.getenv(), now)));
+        return config.get();
+    }
+
     /** A process that was told to end during its start takes nobody in: whoever came would be cut off by its exit. */
     static void listen(Front front, AtomicBoolean ending) throws IOException, InterruptedException {
         if (ending.get()) {
@@ -165,5 +176,6 @@
         } catch (InterruptedException e) {
             Log.error("the drain was cut short", e);
         }
+        Log.flush();
     }
 }
--- a/pooler/src/main/java/holdmux/core/Counters.java
+++ b/pooler/src/main/java/holdmux/core/Counters.java
@@ -54,6 +54,7 @@
         for (Counter counter : Counter.values()) {
             figures.put(counter, new LongAdder());
         }
+        show("log_lines_dropped", () -> Long.toString(Log.dropped()));
     }
 
     public void count(Counter counter) {
--- a/pooler/src/main/java/holdmux/core/Log.java
+++ b/pooler/src/main/java/holdmux/core/Log.java
@@ -1,23 +1,81 @@
 package holdmux.core;
 
-/** The program's log: one line an event on standard error. docs/oncall.md lists the lines. */
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The program's log: one line an event on standard error, written by a thread of its own. Whoever reads that may stall, and
+ * then no other thread waits for it: lines beyond those that wait are dropped and counted. docs/oncall.md lists the lines.
+ */
 public final class Log {
+    /** Lines that may wait to be written. */
+    private static final int MOST_WAITING = 1_024;
+    private static final long FLUSH_MS = 500, LOOK_MS = 5;
+
+    private static final BlockingQueue<String> WAITING = new ArrayBlockingQueue<>(MOST_WAITING);
+    /** Lines taken from the queue whose writing has not ended, and lines dropped so far. */
+    private static final AtomicLong UNWRITTEN = new AtomicLong(), DROPPED = new AtomicLong();
+
+    static {
+        Thread writer = new Thread(null, Log::write, "log", 128 * 1024);
+        writer.setDaemon(true);
+        writer.start();
+    }
+
     private Log() {}
 
     public static void info(String words) {
-        System.err.println("info " + words);
+        put("info " + words);
     }
 
     public static void warn(String words) {
-        System.err.println("warn " + words);
+        put("warn " + words);
     }
 
+    /** A fault with where it was thrown. */
     public static void error(String words, Throwable cause) {
         try {
             StackTraceElement[] trace = cause.getStackTrace();
-            System.err.println("error " + words + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
+            put("error " + words + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
         } catch (OutOfMemoryError e) {
-            // whoever logs a fault goes on; there is no room for its line
+            DROPPED.incrementAndGet(); // whoever logs a fault goes on; there is no room for its line
+        }
+    }
+
+    /** Lines that were dropped since nobody read the log. */
+    static long dropped() {
+        return DROPPED.get();
+    }
+
+    /** Waits until all lines so far are written, for a short while: before the process ends. */
+    public static void flush() {
+        long by = System.nanoTime() + FLUSH_MS * Clock.MS;
+        try {
+            while (UNWRITTEN.get() > 0 && System.nanoTime() < by) {
+                Thread.sleep(LOOK_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void put(String line) {
+        UNWRITTEN.incrementAndGet();
+        if (!WAITING.offer(line)) {
+            UNWRITTEN.decrementAndGet();
+            DROPPED.incrementAndGet();
+        }
+    }
+
+    private static void write() {
+        while (true) {
+            try {
+                System.err.println(WAITING.take());
+                UNWRITTEN.decrementAndGet();
+            } catch (InterruptedException | RuntimeException | Error e) {
+                DROPPED.incrementAndGet(); // a line is lost, the thread goes on
+            }
         }
     }
 }
--- a/pooler/src/main/java/holdmux/discovery/CallSchedule.java
+++ b/pooler/src/main/java/holdmux/discovery/CallSchedule.java
@@ -10,9 +10,11 @@
  */
 final class CallSchedule {
     /** How long one call waits at discovery. Short: what a lost call had to tell counts as told 2 s after this. */
-    static final int HOLD_MS = 2_000;
+    private static final int HOLD_MS = 2_000;
     /** The hold of a call that begins a watch: a new process is not ready before it has been told. */
-    static final int FIRST_HOLD_MS = 500;
+    private static final int FIRST_HOLD_MS = 500;
+    /** Failures in a row from which a call is not held at all: calls that wait may be what fails. */
+    private static final int UNHELD_FROM = 2;
     /** Allowed for the connect, beside the rest of a call. */
     static final int CONNECT_MS = 300;
 
@@ -28,6 +30,14 @@
 
     private CallSchedule() {}
 
+    /** How long discovery is asked to wait for news before it answers. */
+    static int holdMs(boolean begins, int failures) {
+        if (failures >= UNHELD_FROM) {
+            return 0;
+        }
+        return begins ? FIRST_HOLD_MS : HOLD_MS;
+    }
+
     /** How long a call may take before another one is made beside it; {@code begins}: one that begins a watch. */
     static int patienceMs(boolean begins, int failures) {
         if (!begins) {
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -136,7 +136,7 @@
     }
 
     private Query query() {
-        int holdMs = begins ? CallSchedule.FIRST_HOLD_MS : CallSchedule.HOLD_MS;
+        int holdMs = CallSchedule.holdMs(begins, failures);
         String parameters = versions.wholeWanted() ? "" : "?from=" + versions.version() + "&hold_ms=" + holdMs;
         return new Query(parameters, versions.version());
     }
--- a/pooler/src/main/java/holdmux/pg/Listener.java
+++ b/pooler/src/main/java/holdmux/pg/Listener.java
@@ -3,6 +3,7 @@
 import holdmux.core.Clock;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Log;
+import holdmux.core.SystemFaults;
 import holdmux.statement.SqlState;
 import java.io.IOException;
 import java.io.InputStream;
@@ -43,14 +44,23 @@
         this.threads = threads;
         this.address = address;
         this.context = context;
-        server.setReuseAddress(true);
-        // a newer process listens beside this one while it takes over
-        server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-        server.setSoTimeout(LOOK_MS);
+        SystemFaults.retried("a listening socket cannot be made", () -> server.setReuseAddress(true));
+        SystemFaults.retried("a listening socket cannot be set up", () -> server.setSoTimeout(LOOK_MS));
+        shareAddress();
+    }
+
+    /** A newer process listens beside this one while it takes over; where that cannot be had, the rest works all the same. */
+    private void shareAddress() {
+        try {
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        } catch (IOException | UnsupportedOperationException e) {
+            // the virtual machine tries it once, at its start: one failed system call there denies it for good
+            Log.warn("no other process can listen beside this one, so that it cannot be upgraded in place: " + e.getMessage());
+        }
     }
 
     void listen() throws IOException {
-        server.bind(address, BACKLOG);
+        SystemFaults.retried("cannot listen at " + address, () -> server.bind(address, BACKLOG));
     }
 
     /** Accepts until it is to stop, and then what had come before: closing would turn that away unheard. */
--- a/pooler/src/test/java/holdmux/ServeTest.java
+++ b/pooler/src/test/java/holdmux/ServeTest.java
@@ -93,6 +93,38 @@
         }
     }
 
+    /** Nobody reads the log: it used to block each thread with something to say, the watch of discovery among them. */
+    @Test
+    @Timeout(40)
+    void aLogThatNobodyReadsHoldsUpNothing(@TempDir Path folder) throws Exception {
+        int port = freePort();
+        Path file = folder.resolve("config.json");
+        try (ServerSocket agent = agent()) {
+            Files.writeString(file, config(agent, port));
+            Process pooler = serving(folder, file, "log", freePort()).redirectOutput(ProcessBuilder.Redirect.PIPE).start();
+            try {
+                String wide = "x".repeat(200);
+                agent.setSoTimeout(10_000); // where no more calls come, the test fails rather than waits
+                for (int seq = 42; seq < 42 + 600; seq++) { // a pipe holds 64 KiB
+                    answer(agent, seq, wide);
+                }
+            } finally {
+                pooler.destroyForcibly();
+            }
+        }
+    }
+
+    /** Answers one call with a list whose one draining server has this name. */
+    private static void answer(ServerSocket agent, int seq, String host) throws IOException {
+        try (Socket socket = agent.accept()) {
+            new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)).readLine();
+            String body = "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[{\"host\":\"" + host
+                    + "\",\"dial\":\"127.0.0.1:1\",\"block\":2,\"health\":\"draining\"}]}";
+            socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket free = agent()) {
             return free.getLocalPort();
--- a/pooler/src/test/java/holdmux/discovery/HttpResponseTest.java
+++ b/pooler/src/test/java/holdmux/discovery/HttpResponseTest.java
@@ -8,6 +8,9 @@
 import holdmux.config.HostList;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.SequenceInputStream;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -31,6 +34,25 @@
         assertEquals(new HttpResponse(200, "to the end", false), read("HTTP/1.1 200 OK\r\n\r\nto the end"));
     }
 
+    /** The close that ends a body without a length may be lost: a whole JSON object is an end too, half of one is not. */
+    @Test
+    void aBodyWithoutALengthEndsWithItsObject() throws IOException {
+        String head = "HTTP/1.1 200 OK\r\n\r\n";
+        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{}]}";
+        assertEquals(list + "\n", HttpResponse.read(silentBehind(head + list + "\n")).body());
+        assertThrows(IOException.class, () -> HttpResponse.read(silentBehind(head + list.substring(0, list.length() - 2))));
+    }
+
+    /** What a socket gives whose peer says nothing more, and does not close. */
+    private static InputStream silentBehind(String text) {
+        return new SequenceInputStream(new ByteArrayInputStream(text.getBytes(StandardCharsets.US_ASCII)), new InputStream() {
+            @Override
+            public int read() throws IOException {
+                throw new SocketTimeoutException("silent");
+            }
+        });
+    }
+
     @Test
     void boundsWhatItReads() {
         assertThrows(IOException.class, () -> read("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"));
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -465,7 +465,7 @@
     @Test
     void countersAreShownOnRequest() throws IOException {
         String types = ask("show stats;");
-        assertEquals("hello T" + "D".repeat(Counter.values().length) + "CZ", types);
+        assertEquals("hello T" + "D".repeat(counters.all().size()) + "CZ", types);
     }
 
     /** A connection that breaks after the last byte may have run its write: failed, never sent again. */
