Take an interrupted read for what it is, not for the client's or discovery's end

Cause: Java 17's timed socket read (NioSocketImpl.timedRead) returns -3 where a signal interrupted it (EINTR). ClientInput.more took every negative number for the end of the input, so the request that was out was given up unanswered ('lost'); TimedInput handed it to BufferedInputStream, and a call to discovery failed.

Change: both read again within the same bound. SHOW STATS has room of its own (ClientOutput.COUNTERS): its rows had come near the 4,096 bytes of any message.

Tests of module pooler pass.

--- a/app/src/main/java/holdmux/app/soak/SoakClient.java
+++ b/app/src/main/java/holdmux/app/soak/SoakClient.java
@@ -147,6 +147,9 @@
             }
         } catch (IOException e) {
             excused = !(e instanceof SocketTimeoutException) && isExcused(id);
+            if (!excused) {
+                audit.broken("no answer: " + id + " after " + (System.nanoTime() - sent) / 1_000_000 + " ms: " + e);
+            }
             disconnect();
             if (write) {
                 uncertain.add(id);
--- a/pooler/src/main/java/holdmux/core/TimedInput.java
+++ b/pooler/src/main/java/holdmux/core/TimedInput.java
@@ -7,6 +7,9 @@
 
 /** What a socket's peer sends within one bound, however often a byte of it drops in: a drip is no sign of life. */
 public final class TimedInput extends InputStream {
+    /** What a read returns at the end of the input. */
+    private static final int END = -1;
+
     private final Socket socket;
     private final InputStream in;
     private long by;
@@ -30,11 +33,24 @@
 
     @Override
     public int read(byte[] into, int at, int length) throws IOException {
-        long left = by - System.nanoTime();
-        if (left <= 0) {
-            throw new SocketTimeoutException("not whole in time");
+        while (true) {
+            long left = by - System.nanoTime();
+            if (left <= 0) {
+                throw new SocketTimeoutException("not whole in time");
+            }
+            socket.setSoTimeout((int) Clock.millisUp(left));
+            int got = in.read(into, at, length);
+            if (!wasInterrupted(got)) {
+                return got;
+            }
         }
-        socket.setSoTimeout((int) Clock.millisUp(left));
-        return in.read(into, at, length);
+    }
+
+    /**
+     * Whether what a timed read of a socket returned means that a signal interrupted it (EINTR): Java 17 hands its own
+     * number for that, below that for the end of the input, on to the caller, who would take it for an end.
+     */
+    public static boolean wasInterrupted(int got) {
+        return got < END;
     }
 }
--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -1,6 +1,7 @@
 package holdmux.pg;
 
 import holdmux.core.Clock;
+import holdmux.core.TimedInput;
 import holdmux.statement.SqlState;
 import java.io.EOFException;
 import java.io.IOException;
@@ -104,20 +105,30 @@
         }
     }
 
+    private static int some(int got) throws EOFException {
+        if (got < 0) {
+            throw new EOFException("the client closed the connection");
+        }
+        return got;
+    }
+
     private int more(byte[] into, int at, int length) throws IOException, ProtocolException {
-        long left = Math.min(pauseMs, (by - clock.now()) / Clock.MS + 1);
-        if (left > 0) {
-            try {
+        long pauseEnds = clock.now() + pauseMs * Clock.MS;
+        try {
+            while (true) {
+                long left = (Math.min(by, pauseEnds) - clock.now()) / Clock.MS + 1;
+                if (left <= 0) {
+                    break;
+                }
                 socket.setSoTimeout((int) left);
                 timed = true;
                 int got = in.read(into, at, length);
-                if (got < 0) {
-                    throw new EOFException("the client closed the connection");
+                if (!TimedInput.wasInterrupted(got)) {
+                    return some(got);
                 }
-                return got;
-            } catch (SocketTimeoutException e) {
-                // said below
             }
+        } catch (SocketTimeoutException e) {
+            // said below
         }
         throw ProtocolException.fatal(SqlState.QUERY_CANCELED, "a message was not whole in time");
     }
--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -12,8 +12,8 @@
 
 /** What one client is told: the messages of answers and errors, written in pieces that it must take in time. */
 final class ClientOutput extends OutputStream {
-    /** Holds any of our own messages, of which the counters are the longest. */
-    private static final int OWN_MESSAGES = 4_096;
+    /** Holds any of our own messages but the counters, which are some 40 bytes each. */
+    private static final int OWN_MESSAGES = 4_096, COUNTERS = 32_768;
     /** PostgreSQL's types of plain text and of bytes, and the format codes of columns. */
     private static final int TEXT_TYPE = 25, BYTES_TYPE = 17, TEXT_FORMAT = 0, BINARY_FORMAT = 1;
     /** A client must take a piece of its answer within this; then it is cut off, and the thread goes free. */
@@ -49,7 +49,11 @@
     }
 
     void message(Consumer<Message> composer) throws IOException {
-        Message message = new Message(new byte[OWN_MESSAGES]);
+        message(OWN_MESSAGES, composer);
+    }
+
+    private void message(int most, Consumer<Message> composer) throws IOException {
+        Message message = new Message(new byte[most]);
         composer.accept(message);
         message.writeTo(this);
     }
@@ -96,7 +100,7 @@
 
     /** PgBouncer's SHOW STATS: the counters, a row each. */
     void stats(Counters counters) throws IOException {
-        message(message -> {
+        message(COUNTERS, message -> {
             message.begin('T').putShort(2);
             column(message, "counter");
             column(message, "value").end();
--- /dev/null
+++ b/pooler/src/test/java/holdmux/core/TimedInputTest.java
@@ -0,0 +1,49 @@
+package holdmux.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+public class TimedInputTest {
+    /** What Java 17's timed read returns where a signal interrupted it. */
+    private static final int INTERRUPTED = -3;
+
+    /** A socket whose reads return these numbers, with a byte for each that is positive. */
+    public static Socket socketReturning(Integer... returns) {
+        Deque<Integer> next = new ArrayDeque<>(List.of(returns));
+        return new Socket() {
+            @Override
+            public void setSoTimeout(int ms) { }
+
+            @Override
+            public InputStream getInputStream() {
+                return new InputStream() {
+                    @Override
+                    public int read() throws IOException {
+                        throw new IOException("not used");
+                    }
+
+                    @Override
+                    public int read(byte[] into, int at, int length) {
+                        into[at] = 'x';
+                        return next.poll();
+                    }
+                };
+            }
+        };
+    }
+
+    /** A read that a signal interrupted used to pass for the end of the input. */
+    @Test
+    void anInterruptedReadIsNoEnd() throws IOException {
+        TimedInput in = new TimedInput(socketReturning(INTERRUPTED, 1, INTERRUPTED, INTERRUPTED, -1), 1_000);
+        assertEquals('x', in.read());
+        assertEquals(-1, in.read());
+    }
+}
