--- /dev/null
+++ b/app/src/test/java/holdmux/app/soak/FaultSoakTest.java
@@ -0,0 +1,25 @@
+package holdmux.app.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A short soak; {@code holdmux soak --seeds 20 --syscalls} is the long one. */
+class FaultSoakTest {
+    private static final int POOLERS = 10, SECONDS = 12;
+
+    @Test
+    @Timeout(value = 120, unit = TimeUnit.SECONDS)
+    void faultsThatOverlapBreakNoRule() throws Exception {
+        ByteArrayOutputStream told = new ByteArrayOutputStream();
+        try (FaultSoak soak = new FaultSoak(new PrintStream(told, true, StandardCharsets.UTF_8))) {
+            assertEquals(List.of(), soak.run(POOLERS, SECONDS, 20261202, false), () -> told.toString(StandardCharsets.UTF_8));
+        }
+    }
+}
--- /dev/null
+++ b/app/src/test/java/holdmux/app/soak/SoakAuditTest.java
@@ -0,0 +1,67 @@
+package holdmux.app.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.app.soak.SoakAudit.Asked;
+import holdmux.standins.QuoteGroup.Arrival;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The oracle of the soak sees each rule's break, and nothing where none is broken. */
+class SoakAuditTest {
+    private static final long MS = 1_000_000L, TOLD_AND_GRACE = SoakAudit.TOLD_NS + SoakAudit.GRACE_NS;
+
+    private final SoakAudit audit = new SoakAudit();
+
+    private List<String> verdict(Asked request, long arrivedMs, long waitMs, int runs) {
+        audit.asked(request);
+        return audit.verdict(List.of(new Arrival("s-1", request.id(), arrivedMs * MS, waitMs)), Map.of(request.id(), runs));
+    }
+
+    private static Asked asked(long sentMs, long answeredMs, long leftMs) {
+        return new Asked("a", "p1", true, sentMs * MS, 1_000 * MS, answeredMs * MS, leftMs * MS, false);
+    }
+
+    private static void assertBroken(String rule, List<String> verdict) {
+        assertEquals(1, verdict.size(), verdict.toString());
+        assertTrue(verdict.get(0).startsWith(rule), verdict.toString());
+    }
+
+    @Test
+    void aRequestThatKeepsEveryRuleIsNotNamed() {
+        assertEquals(List.of(), verdict(asked(1, 900, 0), 10, 990, 1));
+    }
+
+    @Test
+    void whatIsLostLateOrRunTwiceIsNamed() {
+        assertBroken("lost", verdict(asked(1, 0, 0), 10, 990, 1));
+        assertBroken("late", new SoakAuditTest().verdict(asked(1, 1_600, 0), 10, 990, 1));
+        assertBroken("duplicate", new SoakAuditTest().verdict(asked(1, 900, 0), 10, 990, 2));
+        assertBroken("deadline", new SoakAuditTest().verdict(asked(1, 900, 0), 700, 990, 1));
+        assertBroken("client gone", new SoakAuditTest().verdict(asked(1, 0, 50), 600, 300, 1));
+    }
+
+    /** A drain binds 8 s after discovery could be reached without a break, and until the server is up again. */
+    @Test
+    void aSendPastTheGraceIsNamed() {
+        long binds = TOLD_AND_GRACE / MS + 100;
+        long slack = SoakAudit.ON_ITS_WAY_NS / MS;
+        for (long at : new long[] {binds + slack - 1, binds + slack + 1, 20_001}) {
+            SoakAuditTest each = new SoakAuditTest();
+            each.audit.stopped("s-1", 100 * MS, 20_000 * MS);
+            List<String> verdict = each.verdict(asked(at - 10, at + 10, 0), at, 900, 1);
+            assertEquals(at == binds + slack + 1, verdict.size() == 1 && verdict.get(0).startsWith("drain"), verdict.toString());
+        }
+    }
+
+    @Test
+    void whoCouldNotReachDiscoveryIsToldLater() {
+        audit.deaf("p1", 50 * MS, 1_000 * MS);
+        audit.deaf("p1", 3_000 * MS, 4_000 * MS);
+        audit.deaf("p2", 5_000 * MS, 6_000 * MS);
+        assertEquals(4_000 * MS + TOLD_AND_GRACE, audit.bindsFrom(100 * MS, "p1"));
+        assertEquals(1_100 * MS + TOLD_AND_GRACE, audit.bindsFrom(1_100 * MS, "p3"));
+    }
+}
