Keep one bounded record of each server in the send gate

Review: SendGate held three maps of which two could be derived, and kept servers that are gone for good, with no bound. One record a server now; beyond 8,192 the gone ones are dropped, and a server that is not known counts as gone.

--- a/pooler/src/main/java/holdmux/core/SendGate.java
+++ b/pooler/src/main/java/holdmux/core/SendGate.java
@@ -26,12 +26,24 @@
     /** A process may lose its core between the permission and the write for so long; the grace of a drain covers that. */
     private static final long HELD_UP_NS = 150 * Clock.MS;
 
+    /** Servers remembered, those that are gone among them; beyond that the gone ones are dropped. */
+    private static final int MOST_SERVERS = 8_192;
+
+    /** What was told of a server, and since when it takes nothing new; {@code stoppedAt} means nothing while it is ready. */
+    private record Told(Availability availability, long stoppedAt) {
+        boolean isReady() {
+            return availability == Availability.READY;
+        }
+
+        boolean isGone() {
+            return availability == Availability.GONE;
+        }
+    }
+
     private final Counters counters;
     private final Fleet fleet;
-    /** Since when each server is known to take nothing new, by what was told; those that are gone stay, by their number. */
-    private final Map<Long, Long> stoppedSince = new HashMap<>();
-    private final Set<Long> listed = new HashSet<>();
-    private final Map<Long, Availability> told = new HashMap<>();
+    /** What was told last of each server, by its number; one that is not here is as good as gone. */
+    private final Map<Long, Told> servers = new HashMap<>();
 
     SendGate(Counters counters, Fleet fleet) {
         this.counters = counters;
@@ -46,23 +58,18 @@
             told(line.store(), line.availability(), now);
         }
         if (change.mode() == ListMode.FULL || change.mode() == ListMode.CACHED) {
-            Set.copyOf(listed).stream().filter(store -> !named.contains(store))
+            Set.copyOf(servers.keySet()).stream().filter(store -> !named.contains(store))
                     .forEach(store -> told(store, Availability.GONE, now));
         }
+        if (servers.size() > MOST_SERVERS) {
+            servers.values().removeIf(Told::isGone);
+        }
     }
 
     private void told(long store, Availability availability, long now) {
-        told.put(store, availability);
-        if (availability == Availability.READY) {
-            stoppedSince.remove(store);
-        } else {
-            stoppedSince.putIfAbsent(store, now);
-        }
-        if (availability == Availability.GONE) {
-            listed.remove(store);
-        } else {
-            listed.add(store);
-        }
+        Told before = servers.get(store);
+        boolean stoppedBefore = before != null && !before.isReady();
+        servers.put(store, new Told(availability, stoppedBefore ? before.stoppedAt() : now));
     }
 
     /**
@@ -94,14 +101,12 @@
     }
 
     private Permission byList(long store, boolean goneIsAdvice) {
-        if (!stoppedSince.containsKey(store)) {
-            return Permission.ALLOWED;
-        }
-        boolean gone = told.get(store) == Availability.GONE;
-        if (gone && goneIsAdvice) {
-            return Permission.ALLOWED; // nobody can reach it without an address, and that is Fleet's to say
+        Told told = servers.get(store);
+        if (told == null || told.isGone()) {
+            // where a removal is advice, nobody can reach a server without an address, and that is Fleet's to say
+            return goneIsAdvice ? Permission.ALLOWED : Permission.SERVER_GONE;
         }
-        return gone ? Permission.SERVER_GONE : Permission.SERVER_DRAINING;
+        return told.isReady() ? Permission.ALLOWED : Permission.SERVER_DRAINING;
     }
 
     private boolean counted(Permission permission, Attempt attempt, long now) {
@@ -122,9 +127,9 @@
         if (now - attempt.permittedAt > HELD_UP_NS) {
             counters.count(Counter.WRITES_HELD_UP);
         }
-        Long stopped = stoppedSince.get(attempt.store);
-        if (stopped != null && byList(attempt.store, goneIsAdvice) != Permission.ALLOWED
-                && attempt.permittedAt > stopped + graceNs) {
+        Told told = servers.get(attempt.store);
+        boolean stopped = told != null && byList(attempt.store, goneIsAdvice) != Permission.ALLOWED;
+        if (stopped && attempt.permittedAt > told.stoppedAt() + graceNs) {
             violated(Counter.VIOLATIONS_DRAIN, request, attempt, now);
         }
         if (request.leftAt > 0 && attempt.permittedAt > request.leftAt + GONE_NS) {
@@ -148,9 +153,11 @@
     }
 
     private String describe(Request request, Attempt attempt, long now) {
-        Long stopped = stoppedSince.get(attempt.store);
+        Told told = servers.get(attempt.store);
+        boolean stopped = told != null && !told.isReady();
         return "request " + request.id + " of class " + request.call.className() + ", attempt " + attempt.number + " at "
                 + fleet.name(attempt.store) + ", begun " + (now - attempt.startedAt) / Clock.MS + " ms ago, server told "
-                + told.get(attempt.store) + (stopped == null ? "" : " " + (now - stopped) / Clock.MS + " ms ago");
+                + (told == null ? "nothing of" : told.availability())
+                + (stopped ? " " + (now - told.stoppedAt()) / Clock.MS + " ms ago" : "");
     }
 }
