Log and count odd versions, the first answer of discovery and the longest time without one

The probes showed lists that are not in force with every counter at 0: nothing told that a version had moved on without an entry, that the agent answers below the version asked from, that a process serves from the list of its configuration, or how long discovery was not heard at worst. Behaviour is unchanged.

--- a/pooler/src/main/java/holdmux/Pooler.java
+++ b/pooler/src/main/java/holdmux/Pooler.java
@@ -8,6 +8,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Fronts;
+import holdmux.core.Log;
 import holdmux.core.Part;
 import holdmux.core.ServerSlots;
 import holdmux.core.Services;
@@ -65,7 +66,7 @@
     public Watch begin() {
         Config config = services.config();
         services.balancer().listChanged(config.known(), true);
-        services.deadlines().after(DISCOVERY_MS * Clock.MS, ready::countDown);
+        services.deadlines().after(DISCOVERY_MS * Clock.MS, this::waitedForDiscovery);
         Workers.lasting("deadlines", services.counters(), services.deadlines()::run).start();
         Watch watch = new Watch(config.discovery(), config.known(), config.seed(), services.counters(), list -> {
             services.balancer().listChanged(list, false);
@@ -75,6 +76,14 @@
         return watch;
     }
 
+    private void waitedForDiscovery() {
+        if (!isReady()) {
+            Log.warn("discovery has not told its list within " + DISCOVERY_MS + " ms; version "
+                    + services.config().known().seq() + " of the configuration is served from");
+        }
+        ready.countDown();
+    }
+
     /** Makes the code warm that the first requests need. */
     public void warmUp() {
         front.warmUp();
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -40,8 +40,10 @@
     private DiscoveryCall current;
     /** On {@link System#nanoTime}: when the current call is overdue, or the next one is made where there is none. */
     private long due;
-    /** When a call was last answered. */
+    /** When a call was last answered, whether any ever was, and the longest time between two answers so far. */
     private long answeredAt;
+    private boolean everAnswered;
+    private long longestUnconfirmedMs;
     /** Whether the next call begins a watch, as the first one and all behind a failure do. */
     private boolean begins = true;
     private int failures;
@@ -58,6 +60,9 @@
         due = answeredAt;
         counters.show("list_version", () -> Long.toString(version()));
         counters.show("list_confirmed_ms_ago", () -> Long.toString(confirmedMsAgo()));
+        counters.show("list_longest_unconfirmed_ms", () -> Long.toString(longestUnconfirmedMs()));
+        counters.show("list_ever_confirmed", () -> Boolean.toString(everConfirmed()));
+        counters.show("discovery_agent", () -> agent().toString());
     }
 
     @Override
@@ -110,6 +115,14 @@
         return (System.nanoTime() - answeredAt) / Clock.MS;
     }
 
+    private synchronized long longestUnconfirmedMs() {
+        return Math.max(longestUnconfirmedMs, confirmedMsAgo());
+    }
+
+    private synchronized boolean everConfirmed() {
+        return everAnswered;
+    }
+
     /** There is no current call any more; the next one, which begins a watch, is made after this pause. */
     private void next(long afterMs) {
         current = null;
@@ -166,7 +179,7 @@
         }
         HostList list = HostList.decode(response.body());
         take(list, call);
-        answeredAt = System.nanoTime();
+        confirmed(call);
         if (failures > 0) {
             Log.info("discovery answers again after " + failures + " failed calls");
             failures = 0;
@@ -175,7 +188,18 @@
         return goOn(call, response.keepAlive(), list.whole());
     }
 
+    private void confirmed(DiscoveryCall call) {
+        longestUnconfirmedMs = longestUnconfirmedMs();
+        answeredAt = System.nanoTime();
+        if (!everAnswered) {
+            everAnswered = true;
+            Log.info("discovery call " + call.number() + " to " + call.agent() + ": first answer, version "
+                    + versions.version() + " in force");
+        }
+    }
+
     private void take(HostList list, DiscoveryCall call) {
+        noteOddVersion(list, call);
         switch (versions.judge(list, call.query().askedAt())) {
             case TAKE -> {
                 lists.accept(list);
@@ -195,6 +219,18 @@
         }
     }
 
+    /** Counts answers whose version does not go with what they hold: behind what was asked from, or ahead without a change. */
+    private void noteOddVersion(HostList list, DiscoveryCall call) {
+        long askedAt = call.query().askedAt();
+        if (list.seq() < askedAt) {
+            counters.count(Counter.ANSWERS_BEHIND);
+            Log.warn("discovery call " + call.number() + ": version " + list.seq() + " where " + askedAt + " was asked from");
+        } else if (list.seq() > askedAt && !list.whole() && list.hosts().isEmpty()) {
+            counters.count(Counter.EMPTY_ADVANCES);
+            Log.warn("discovery call " + call.number() + ": version " + list.seq() + " names no change since " + askedAt);
+        }
+    }
+
     /** Calls made before one that has been answered have nothing to add. */
     private void endBefore(DiscoveryCall answered) {
         while (calls.get(0) != answered) {
