--- a/app/src/main/java/holdmux/app/drill/PoolerProcess.java
+++ b/app/src/main/java/holdmux/app/drill/PoolerProcess.java
@@ -39,7 +39,12 @@
     public void configure(String config) throws IOException {
         // positions of one fleet, seeds of each: the order in which it asks the store follows the seed
         JSONObject own = new JSONObject(config).put("name", name).put("seed", Integer.toHexString(name.hashCode()));
-        Files.writeString(folder.resolve("config.json"), own.toString());
+        configureRaw(own.toString());
+    }
+
+    /** Writes this text as the configuration file, whatever it is. */
+    public void configureRaw(String text) throws IOException {
+        Files.writeString(folder.resolve("config.json"), text);
     }
 
     /** From its next start on one of the shell's limits holds: {@code -f 200} for files of 200 KiB, a disk that fills up. */
--- a/standins/src/main/java/holdmux/standins/StandIns.java
+++ b/standins/src/main/java/holdmux/standins/StandIns.java
@@ -22,7 +22,8 @@
     private final Map<String, InetSocketAddress> dials = new LinkedHashMap<>();
     private final Map<String, String> kinds = new LinkedHashMap<>();
     private final List<AutoCloseable> parts = new ArrayList<>();
-    private final DiscoveryAgent agent = new DiscoveryAgent();
+    private final ServerList servers = new ServerList();
+    private final DiscoveryAgent agent = new DiscoveryAgent(servers);
 
     public StandIns() throws IOException {
         parts.add(agent);
@@ -32,6 +33,18 @@
         return group;
     }
 
+    /** The agent that the configuration names. */
+    public DiscoveryAgent agent() {
+        return agent;
+    }
+
+    /** A further agent, as of another machine, that tells the same list. */
+    public synchronized DiscoveryAgent anotherAgent() throws IOException {
+        DiscoveryAgent another = new DiscoveryAgent(servers);
+        parts.add(another);
+        return another;
+    }
+
     /** Starts a server of this kind; the first one is the primary. */
     public void start(String name, String kind) throws IOException {
         QuoteGroup.Member member = group.add(name);
@@ -50,12 +63,17 @@
 
     /** Lists a server with this health: up, draining or removed. */
     public void list(String name, String health) {
-        agent.put(name, dials.get(name), kinds.get(name), GROUP, health, group.leads(group.member(name)));
+        put(name, name, GROUP, health);
     }
 
     /** Lists a further server of a group, played by one that was started: for fleets of a size that needs no more data. */
     public void also(String name, String as, int group, String health) {
-        agent.put(name, dials.get(as), kinds.get(as), group, health, this.group.leads(this.group.member(as)));
+        put(name, as, group, health);
+    }
+
+    private void put(String name, String as, int inGroup, String health) {
+        servers.put(new ServerList.Entry(name, dials.get(as).getPort(), kinds.get(as), inGroup, health,
+                group.leads(group.member(as))));
     }
 
     /** Lists a server at another address, as when a machine is replaced. */
@@ -91,7 +109,7 @@
                 + "," + type("save-quote", "at_most_once", 1_500, 5_000, 3);
         return "{\"name\":\"demo\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                 + agent.address().getPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
-                + memoryMb + ",\"sockets\":" + sockets + "},\"known\":" + agent.list(0) + ",\"settings\":{"
+                + memoryMb + ",\"sockets\":" + sockets + "},\"known\":" + agent.whole() + ",\"settings\":{"
                 + "\"allowed\":{\"cancel\":true,\"conn-idle-ns\":15000000000,\"connect-timeout-ns\":250000000,"
                 + "\"max-attempts\":6,\"max-retry-after-ns\":500000000,\"may-duplicate\":true,\"peers\":false,"
                 + "\"probes\":true,\"retry-after\":true},\"balancers\":1,\"discovery\":\"automatic\","
