Hold a drain that was told: doubt has the whole list asked for, nothing goes out unconfirmed

Lines at fault: ListVersions.judge looked at hosts alone and called a change whose only entry cannot be read, a version that moves on without a change and an agent that counts anew NOTHING_NEW, and nothingNew went on over them; ListVersions.taken cleared the wish for the whole list whatever had been taken; Pooler.DISCOVERY_MS served from the list of the configuration after 1 s; Config knew the environment's agent alone; Reloader gave a file up that was half written; a watch that fell silent was seen after 2.8 s, where a pushed change binds 2 s after the agent has it.

Now: Watch asks for the whole list behind each answer that may have hidden a change, behind a silence of 5 s, and once a minute (WholeListSchedule); queries carry the numbering and the wish that they answer (ListVersions.Asked). Where lists are pushed a silent call is seen after 0.8 s and 0.5 s (CallSchedule.PUSHED), and a process sends nothing before discovery has confirmed its list (SendGate, Admission; ListIntake): it refuses with a hint and is ready after 4 s at most. The file's agent is called in turns with the environment's until one has answered. Where lists must be asked for, times are as before.

--- a/flight/src/main/java/holdmux/flight/FlightService.java
+++ b/flight/src/main/java/holdmux/flight/FlightService.java
@@ -352,10 +352,10 @@
         if (left <= 0 || statement.write && left < Admission.waitNs(statement)) {
             throw Statuses.ending(); // how the write ended could not be told; another pooler can take it
         }
-        String closed = services.admission().closed();
+        Admission.Closed closed = services.admission().closed();
         if (closed != null) {
-            services.counters().count(Counter.POLICY_CLOSED);
-            throw Statuses.closed(closed);
+            services.counters().count(closed.counter());
+            throw Statuses.closed(closed.reason());
         }
         Request.Call call = services.admission().call(statement, Math.min(left, Caller.now().leftNs()));
         try {
--- a/pooler/src/main/java/holdmux/Pooler.java
+++ b/pooler/src/main/java/holdmux/Pooler.java
@@ -8,13 +8,13 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Fleet;
 import holdmux.core.Fronts;
-import holdmux.core.Log;
 import holdmux.core.Part;
 import holdmux.core.ServerSlots;
 import holdmux.core.Services;
 import holdmux.core.Shared;
 import holdmux.core.Upstreams;
 import holdmux.core.Workers;
+import holdmux.discovery.Agents;
 import holdmux.discovery.Watch;
 import holdmux.pg.PgFront;
 import holdmux.pg.PgUpstream;
@@ -24,9 +24,6 @@
 
 /** One pooler, wired: PostgreSQL and further parts round one balancer. Knows no signals; {@link Serve} does. */
 public final class Pooler {
-    /** Readiness does not wait longer for discovery: the cached list serves when the agent is down. */
-    private static final long DISCOVERY_MS = 1_000;
-
     private final Services services;
     private final CountDownLatch ready = new CountDownLatch(1);
     private final PgFront front;
@@ -62,28 +59,18 @@
         return fronts;
     }
 
-    /** Takes in the list as last known, and begins to keep time and to follow discovery. */
+    /** Begins to keep time and to follow discovery. */
     public Watch begin() {
         Config config = services.config();
-        services.balancer().listChanged(config.known(), true);
-        services.deadlines().after(DISCOVERY_MS * Clock.MS, this::waitedForDiscovery);
+        ListIntake lists = new ListIntake(services, ready);
+        lists.begin();
         Workers.lasting("deadlines", services.counters(), services.deadlines()::run).start();
-        Watch watch = new Watch(config.discovery(), config.known(), config.seed(), services.counters(), list -> {
-            services.balancer().listChanged(list, false);
-            ready.countDown();
-        });
+        Watch watch = new Watch(new Agents(config.discovery(), config.otherDiscovery()), config.known(),
+                () -> services.balancer().deployment().settings().mustSubscribe(), config.seed(), services.counters(), lists);
         Workers.lasting("discovery", services.counters(), watch).start();
         return watch;
     }
 
-    private void waitedForDiscovery() {
-        if (!isReady()) {
-            Log.warn("discovery has not told its list within " + DISCOVERY_MS + " ms; version "
-                    + services.config().known().seq() + " of the configuration is served from");
-        }
-        ready.countDown();
-    }
-
     /** Makes the code warm that the first requests need. */
     public void warmUp() {
         front.warmUp();
--- a/pooler/src/main/java/holdmux/Steered.java
+++ b/pooler/src/main/java/holdmux/Steered.java
@@ -74,6 +74,6 @@
      * may be putting a policy in force here meanwhile.
      */
     boolean takes() {
-        return services.admission().closed() == null && !orders.fleetEvacuates();
+        return services.admission().closedByPolicy() == null && !orders.fleetEvacuates();
     }
 }
--- a/pooler/src/main/java/holdmux/config/Config.java
+++ b/pooler/src/main/java/holdmux/config/Config.java
@@ -12,11 +12,12 @@
 
 /**
  * All that the pooler is told at its start; {@code memoryMb} and {@code sockets} are its limits, {@code management} is
- * null where the operators have no address of their own, {@code keys} are all that the file told and {@code ownSettings}
+ * null where the operators have no address of their own, {@code otherDiscovery} is what the file names where the environment
+ * has the last word and names another agent, else null, {@code keys} are all that the file told and {@code ownSettings}
  * its settings as they stand there.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress management,
-        long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress otherDiscovery,
+        InetSocketAddress management, long seed, int memoryMb, int sockets, HostList known, Deployment deployment, Set<String> keys,
         JSONObject ownSettings) {
     /** 1,024 servers with indentation and the longest names take 1.1 MiB, and a policy's settings some KiB. */
     private static final long MOST_BYTES = 4 << 20;
@@ -82,7 +83,7 @@
             keys.removeIf(key -> key.startsWith("known.")); // hosts come and go
             return new Config(named(all, "name", env, "BALANCER_NAME", fileFirst),
                     address(named(all, "listen", env, "BALANCER_LISTEN", fileFirst)),
-                    address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)),
+                    address(named(all, "discovery", env, "BALANCER_DISCOVERY", fileFirst)), otherDiscovery(all, env, fileFirst),
                     management.isEmpty() ? null : address(management),
                     Long.parseUnsignedLong(all.getString("seed"), 16), limits.getInt("memory_mb"),
                     limits.getInt("sockets"), HostList.decode(all.getJSONObject("known"), fileFirst),
@@ -92,6 +93,16 @@
         }
     }
 
+    /**
+     * The agent that the file names beside the environment's: a process that is started again after its configuration has
+     * moved discovery may still be given the address of before.
+     */
+    private static InetSocketAddress otherDiscovery(JSONObject all, Map<String, String> env, boolean fileFirst) {
+        String own = env.get("BALANCER_DISCOVERY");
+        boolean differs = own != null && !fileFirst && !own.equals(all.optString("discovery", own));
+        return differs ? address(all.getString("discovery")) : null;
+    }
+
     private static String named(JSONObject all, String key, Map<String, String> env, String variable,
             boolean fileFirst) {
         boolean file = all.has(key) && (fileFirst || !env.containsKey(variable));
--- a/pooler/src/main/java/holdmux/config/HostList.java
+++ b/pooler/src/main/java/holdmux/config/HostList.java
@@ -20,6 +20,11 @@
             return health.equals(UP);
         }
 
+        /** Whether it says that the server takes nothing new. */
+        public boolean saysStopped() {
+            return health.equals(DRAINING) || health.equals(REMOVED);
+        }
+
         /** Whether it says that the server is gone. */
         public boolean saysRemoved() {
             return health.equals(REMOVED);
--- a/pooler/src/main/java/holdmux/core/Admission.java
+++ b/pooler/src/main/java/holdmux/core/Admission.java
@@ -1,7 +1,9 @@
 package holdmux.core;
 
 import holdmux.config.Deployment;
+import holdmux.core.Counters.Counter;
 import holdmux.decision.SplitterApi.Consistency;
+import holdmux.decision.SplitterApi.Limits;
 import holdmux.decision.SplitterApi.RequestClass;
 import holdmux.statement.SqlState;
 import holdmux.statement.Statement;
@@ -12,11 +14,23 @@
 public final class Admission {
     /** How long the request is on its way to us, at most in the deployments so far: d counts from its send. */
     private static final long UNDERWAY_MS = 2;
+    /** When to come again while discovery's list is awaited: its agent is asked twice in this time. */
+    private static final long LIST_RETRY_NS = 1_000 * Clock.MS;
+
+    /**
+     * Why nothing is taken.
+     *
+     * @param counter what such refusals are counted under
+     * @param retryAfterNs when the client should come again, in nanoseconds; 0 for no hint
+     */
+    public record Closed(String reason, Counter counter, long retryAfterNs) {}
 
     private final Supplier<Deployment> deployment;
     private final Fleet fleet;
     /** Null where nothing is asked. */
     private volatile Supplier<String> gate;
+    /** Whether discovery has still to confirm the list before anything may be taken. */
+    private volatile boolean listAwaited;
 
     public Admission(Supplier<Deployment> deployment, Fleet fleet) {
         this.deployment = deployment;
@@ -28,12 +42,37 @@
         gate = closed;
     }
 
-    /** Null, or in words why this pooler takes no request now: another one can. */
-    public String closed() {
+    /** From now on nothing is taken until {@link #listConfirmed}. */
+    public void awaitList() {
+        listAwaited = true;
+    }
+
+    /** Discovery has confirmed the list of servers. */
+    public void listConfirmed() {
+        listAwaited = false;
+    }
+
+    /** Null, or why this pooler takes no request now: another one can. */
+    public Closed closed() {
+        if (listAwaited) {
+            return new Closed("discovery has not confirmed the list of servers yet", Counter.REFUSED_UNCONFIRMED,
+                    retryAfterNs());
+        }
+        String reason = closedByPolicy();
+        return reason == null ? null : new Closed(reason, Counter.POLICY_CLOSED, 0);
+    }
+
+    /** Null, or in words why the fleet's policy lets this pooler take nothing. */
+    public String closedByPolicy() {
         Supplier<String> now = gate;
         return now == null ? null : now.get();
     }
 
+    private long retryAfterNs() {
+        Limits limits = deployment.get().settings().limits();
+        return limits.retryAfter() ? Math.min(LIST_RETRY_NS, limits.maxRetryAfterNs()) : 0;
+    }
+
     /** The request that a statement stands for, where its client and this process wait no longer than this. */
     public Request.Call call(Statement statement, long mostNs) throws StatementException {
         RequestClass type = type(statement.className);
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -90,6 +90,25 @@
         }
     }
 
+    /** From now on nothing is sent to any server until {@link #listConfirmed}. */
+    public void awaitList() {
+        awaitList(true);
+    }
+
+    /** Discovery has confirmed the list of servers. */
+    public void listConfirmed() {
+        awaitList(false);
+    }
+
+    private void awaitList(boolean yes) {
+        lock.lock();
+        try {
+            gate.awaitList(yes);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void countTold(Listing line) {
         if (line.availability() == Availability.DRAINING) {
             counters.count(Counter.DRAINS_TOLD);
--- a/pooler/src/main/java/holdmux/core/Fleet.java
+++ b/pooler/src/main/java/holdmux/core/Fleet.java
@@ -115,7 +115,7 @@
         for (HostList.Unfit unfit : list.unfit()) {
             Host known = told.get(unfit.name());
             if (known != null) {
-                lines.add(take(list.seq(), unfit.saysUp() ? known
+                lines.add(take(unfit.saysStopped() ? list.seq() : inferredFrom(list), unfit.saysUp() ? known
                         : known.with(unfit.saysRemoved() ? Availability.GONE : Availability.DRAINING)));
             }
         }
@@ -130,7 +130,14 @@
         list.hosts().forEach(host -> listed.add(host.name()));
         list.unfit().forEach(unfit -> listed.add(unfit.name()));
         List<Host> omitted = told.values().stream().filter(host -> !listed.contains(host.name())).toList();
-        omitted.forEach(host -> take(list.seq(), host.with(Availability.GONE)));
+        // an entry that cannot be read and names nobody may be that of a server which seems to be omitted
+        boolean certain = list.unfit().stream().allMatch(unfit -> listed.contains(unfit.name()) && !unfit.name().isEmpty());
+        omitted.forEach(host -> take(certain ? list.seq() : inferredFrom(list), host.with(Availability.GONE)));
+    }
+
+    /** The version of what is inferred from entries that cannot be read: the same list, once it can be read, undoes it. */
+    private static long inferredFrom(HostList list) {
+        return list.seq() - 1;
     }
 
     private Listing take(long seq, Host said) {
--- a/pooler/src/main/java/holdmux/core/SendGate.java
+++ b/pooler/src/main/java/holdmux/core/SendGate.java
@@ -44,12 +44,19 @@
     private final Fleet fleet;
     /** What was told last of each server, by its number; one that is not here is as good as gone. */
     private final Map<Long, Told> servers = new HashMap<>();
+    /** Whether discovery has still to confirm what was told of any server. */
+    private boolean listAwaited;
 
     SendGate(Counters counters, Fleet fleet) {
         this.counters = counters;
         this.fleet = fleet;
     }
 
+    /** Whether nothing may be sent to any server, since discovery has not confirmed the list yet. */
+    void awaitList(boolean yes) {
+        listAwaited = yes;
+    }
+
     /** Takes in what was told of servers. */
     void told(ListChanged change, long now) {
         Set<Long> named = new HashSet<>();
@@ -84,6 +91,8 @@
             permission = Permission.REQUEST_OVER;
         } else if (permission == Permission.ALLOWED && now >= attempt.startedAt + attempt.limitNs) {
             permission = Permission.TIME_OVER;
+        } else if (permission == Permission.ALLOWED && listAwaited) {
+            permission = Permission.LIST_UNCONFIRMED;
         } else if (permission == Permission.ALLOWED) {
             permission = byList(attempt.store, goneIsAdvice);
             if (permission != Permission.ALLOWED) {
@@ -97,7 +106,7 @@
 
     /** Whether a probe may be written now. */
     boolean permitsProbe(Attempt probe, boolean goneIsAdvice, long now) {
-        return counted(byList(probe.store, goneIsAdvice), probe, now);
+        return counted(listAwaited ? Permission.LIST_UNCONFIRMED : byList(probe.store, goneIsAdvice), probe, now);
     }
 
     private Permission byList(long store, boolean goneIsAdvice) {
--- a/pooler/src/main/java/holdmux/decision/Permission.java
+++ b/pooler/src/main/java/holdmux/decision/Permission.java
@@ -9,6 +9,8 @@
     NOT_REPEATABLE,
     /** The attempt's time is over. */
     TIME_OVER,
+    /** Discovery has not confirmed the list of servers since the start: which of them drain is not known. */
+    LIST_UNCONFIRMED,
     /** Discovery or the operators have the server draining: it finishes what it has and takes nothing new. */
     SERVER_DRAINING,
     /** Discovery has removed the server, or it is in another group by now. */
--- /dev/null
+++ b/pooler/src/main/java/holdmux/discovery/Agents.java
@@ -0,0 +1,16 @@
+package holdmux.discovery;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Where discovery's agent may be at a start.
+ *
+ * @param first the address that is called first
+ * @param alternative another one that is called in turns with it until one has answered; null for none
+ */
+public record Agents(InetSocketAddress first, InetSocketAddress alternative) {
+    /** The one agent there is. */
+    public static Agents only(InetSocketAddress agent) {
+        return new Agents(agent, null);
+    }
+}
--- a/pooler/src/main/java/holdmux/discovery/DiscoveryCall.java
+++ b/pooler/src/main/java/holdmux/discovery/DiscoveryCall.java
@@ -22,8 +22,8 @@
         void failed(DiscoveryCall call, Throwable cause);
     }
 
-    /** What is asked; {@code askedAt} is the version that was in force then. */
-    record Query(String parameters, long askedAt) {}
+    /** What is asked, and what was known then. */
+    record Query(String parameters, ListVersions.Asked asked) {}
 
     /** An answer that takes longer than this is of no use: every change in it has been told by later calls. */
     private static final int LISTEN_MS = 30_000;
--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -13,7 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
+import java.util.function.BooleanSupplier;
 
 /**
  * Follows discovery's list for ever: what changed since the list that this program was given at its start, or the whole
@@ -26,36 +26,51 @@
     private static final int MOST_CALLS = 4;
     /** Failures between log lines: one line in some seconds of silence. */
     private static final int LOG_EVERY = 10;
+    /** A silence of discovery that is longer than any single lost call explains. */
+    private static final long LONG_SILENCE_MS = 5_000;
 
     private final Counters counters;
-    private final Consumer<HostList> lists;
+    private final BooleanSupplier mustAsk;
+    private final ListListener lists;
     private final SplittableRandom random;
     // all that follows under this object's monitor
     /** Where the agent is now, and whether it has not answered since it was named. */
     private InetSocketAddress agent;
     private boolean moved;
+    /** Another address that the agent may have, called in turns until one has answered; null for none. */
+    private InetSocketAddress alternative;
     private final ListVersions versions;
+    private final WholeListSchedule wholeLists;
     /** The calls that are listened to, the oldest first, and the one that is expected to answer; null for none. */
     private final List<DiscoveryCall> calls = new ArrayList<>();
     private DiscoveryCall current;
     /** On {@link System#nanoTime}: when the current call is overdue, or the next one is made where there is none. */
     private long due;
-    /** When a call was last answered, whether any ever was, and the longest time between two answers so far. */
+    /** When a call was last answered, whether the list was ever confirmed, and the longest time between two answers so far. */
     private long answeredAt;
-    private boolean everAnswered;
+    private boolean everConfirmed;
     private long longestUnconfirmedMs;
     /** Whether the next call begins a watch, as the first one and all behind a failure do. */
     private boolean begins = true;
     private int failures;
     private long lastNumber;
 
-    /** {@code known} is the list as it was last had, empty for none; {@code lists} takes each further one in, in order. */
-    public Watch(InetSocketAddress agent, HostList known, long seed, Counters counters, Consumer<HostList> lists) {
-        this.agent = agent;
+    /**
+     * A watch that is not running yet.
+     *
+     * @param known the list as it was last had, empty for none
+     * @param mustAsk whether discovery tells changes only when it is asked, rather than pushing them to its agents
+     * @param lists takes in each further list, in order
+     */
+    public Watch(Agents agents, HostList known, BooleanSupplier mustAsk, long seed, Counters counters, ListListener lists) {
+        agent = agents.first();
+        alternative = agents.alternative();
         this.counters = counters;
+        this.mustAsk = mustAsk;
         this.lists = lists;
         versions = new ListVersions(known);
         random = new SplittableRandom(seed);
+        wholeLists = new WholeListSchedule(new SplittableRandom(~seed).nextDouble(), nowMs());
         answeredAt = System.nanoTime();
         due = answeredAt;
         counters.show("list_version", () -> Long.toString(version()));
@@ -95,6 +110,7 @@
     public synchronized void moveTo(InetSocketAddress to) {
         if (!to.equals(agent)) {
             agent = to;
+            alternative = null;
             moved = true;
             versions.wantWhole();
             Log.info("discovery moves to " + to + ", version " + versions.version() + " in force");
@@ -120,7 +136,15 @@
     }
 
     private synchronized boolean everConfirmed() {
-        return everAnswered;
+        return everConfirmed;
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / Clock.MS;
+    }
+
+    private CallSchedule schedule() {
+        return CallSchedule.of(mustAsk.getAsBoolean());
     }
 
     /** There is no current call any more; the next one, which begins a watch, is made after this pause. */
@@ -149,15 +173,22 @@
     }
 
     private Query query() {
-        int holdMs = CallSchedule.holdMs(begins, failures);
-        String parameters = versions.wholeWanted() ? "" : "?from=" + versions.version() + "&hold_ms=" + holdMs;
-        return new Query(parameters, versions.version());
+        if (wholeLists.isDue(nowMs())) {
+            wholeLists.asked(nowMs());
+            versions.wantWhole();
+        }
+        if (versions.wholeWanted()) {
+            counters.count(Counter.WHOLE_LISTS_ASKED);
+            return new Query("", versions.asked());
+        }
+        int holdMs = schedule().holdMs(begins, failures);
+        return new Query("?from=" + versions.version() + "&hold_ms=" + holdMs, versions.asked());
     }
 
     private void expect(DiscoveryCall call) {
         current = call;
-        int patience = CallSchedule.patienceMs(begins, moved ? Math.max(1, failures) : failures);
-        due = System.nanoTime() + (patience + CallSchedule.CONNECT_MS) * Clock.MS;
+        int patienceMs = schedule().patienceMs(begins, moved ? Math.max(1, failures) : failures);
+        due = System.nanoTime() + patienceMs * Clock.MS;
     }
 
     /** The current call has not been answered in time: it is listened to further, and another one is made. */
@@ -179,55 +210,80 @@
         }
         HostList list = HostList.decode(response.body());
         take(list, call);
-        confirmed(call);
-        if (failures > 0) {
-            Log.info("discovery answers again after " + failures + " failed calls");
-            failures = 0;
-        }
+        answeredBy(call);
         endBefore(call);
         return goOn(call, response.keepAlive(), list.whole());
     }
 
-    private void confirmed(DiscoveryCall call) {
-        longestUnconfirmedMs = longestUnconfirmedMs();
+    /** Notes that a call was answered with a list that could be used. */
+    private void answeredBy(DiscoveryCall call) {
+        long silentMs = confirmedMsAgo();
+        longestUnconfirmedMs = Math.max(longestUnconfirmedMs, silentMs);
         answeredAt = System.nanoTime();
-        if (!everAnswered) {
-            everAnswered = true;
-            Log.info("discovery call " + call.number() + " to " + call.agent() + ": first answer, version "
-                    + versions.version() + " in force");
+        if (silentMs > LONG_SILENCE_MS) {
+            counters.count(Counter.LONG_SILENCES);
+            wholeLists.doubted(nowMs()); // whoever answers now may be another agent than before
+        }
+        if (failures > 0) {
+            Log.info("discovery answers again after " + failures + " failed calls and " + silentMs + " ms");
+            failures = 0;
+        }
+        if (!everConfirmed && !isInDoubt()) {
+            everConfirmed = true;
+            agent = alternative == null ? agent : call.agent();
+            alternative = null;
+            lists.confirmed();
+            Log.info("discovery call " + call.number() + " to " + call.agent() + " confirms version " + versions.version());
         }
     }
 
+    /** Whether the whole list is to be asked for since the one in force may lack something. */
+    private boolean isInDoubt() {
+        return versions.wholeWanted() || wholeLists.isDue(nowMs());
+    }
+
     private void take(HostList list, DiscoveryCall call) {
-        noteOddVersion(list, call);
-        switch (versions.judge(list, call.query().askedAt())) {
+        ListVersions.Asked asked = call.query().asked();
+        switch (versions.judge(list, asked)) {
             case TAKE -> {
-                lists.accept(list);
-                versions.taken(list); // not before: what could not be taken in is asked for again
+                lists.changed(list);
+                versions.taken(list, asked); // not before: what could not be taken in is asked for again
                 Log.info("discovery call " + call.number() + ": " + list.describe());
+                checkEntries(list);
+            }
+            case NOTHING_NEW -> versions.confirmed();
+            case OVERTAKEN -> { }
+            case EMPTY_ADVANCE -> {
+                counters.count(Counter.EMPTY_ADVANCES);
+                Log.warn("discovery call " + call.number() + ": version " + list.seq() + " names no change since "
+                        + asked.version() + ", the whole list is asked for");
+                versions.advanced(list);
+            }
+            case BEHIND -> {
+                counters.count(Counter.ANSWERS_BEHIND);
+                Log.warn("discovery call " + call.number() + ": version " + list.seq() + " where " + asked.version()
+                        + " was asked from, the whole list is asked for");
+                versions.sawOlder();
             }
-            case NOTHING_NEW -> versions.nothingNew(list);
             case OLDER -> {
-                versions.refusedAsOlder();
+                versions.sawOlder();
                 throw new ConfigException("list " + list.seq() + " is older than " + versions.version()
                         + ", which is in force");
             }
         }
-        if (!list.unfit().isEmpty()) {
+    }
+
+    /** Has the whole list asked for where entries could not be read, and tells when it was had. */
+    private void checkEntries(HostList list) {
+        boolean faulty = !list.unfit().isEmpty();
+        if (faulty) {
             counters.count(Counter.ENTRIES_REFUSED);
             Log.warn("discovery's list " + list.seq() + " has entries that cannot be used: " + list.unfit());
         }
-    }
-
-    /** Counts answers whose version does not go with what they hold: behind what was asked from, or ahead without a change. */
-    private void noteOddVersion(HostList list, DiscoveryCall call) {
-        long askedAt = call.query().askedAt();
-        if (list.seq() < askedAt) {
-            counters.count(Counter.ANSWERS_BEHIND);
-            Log.warn("discovery call " + call.number() + ": version " + list.seq() + " where " + askedAt + " was asked from");
-        } else if (list.seq() > askedAt && !list.whole() && list.hosts().isEmpty()) {
-            counters.count(Counter.EMPTY_ADVANCES);
-            Log.warn("discovery call " + call.number() + ": version " + list.seq() + " names no change since " + askedAt);
+        if (list.whole()) {
+            wholeLists.taken(faulty, nowMs());
+        } else if (faulty) {
+            wholeLists.doubted(nowMs());
         }
     }
 
@@ -286,6 +342,11 @@
             Log.warn(what + words + " (call " + call.number() + " to " + call.agent() + ", version "
                     + versions.version() + " in force, " + failures + " failed)");
         }
-        next(CallSchedule.pauseMs(failures, random));
+        if (alternative != null) {
+            InetSocketAddress failed = agent;
+            agent = alternative;
+            alternative = failed;
+        }
+        next(schedule().pauseMs(failures, random));
     }
 }
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -405,6 +405,12 @@
             out.stats(counters);
         } else {
             Statement statement = Statement.parse(query.butLast());
+            Admission.Closed closed = context.admission().closed();
+            if (closed != null) {
+                counters.count(closed.counter());
+                out.error(SqlState.CANNOT_CONNECT_NOW, closed.reason(), closed.retryAfterNs());
+                return;
+            }
             Request.Call call = context.admission().call(statement, context.clients().timeLeft());
             context.clients().works(this);
             long left = context.clients().timeLeft();
@@ -414,12 +420,6 @@
                 out.error(SqlState.CANNOT_CONNECT_NOW, "this pooler is about to end", 0);
                 return;
             }
-            String closed = context.admission().closed();
-            if (closed != null) {
-                counters.count(Counter.POLICY_CLOSED);
-                out.error(SqlState.CANNOT_CONNECT_NOW, closed, 0);
-                return;
-            }
             Request request = context.balancer().taken(call);
             if (!begins(request)) {
                 context.balancer().left(request);
--- a/pooler/src/test/java/holdmux/ReloaderTest.java
+++ b/pooler/src/test/java/holdmux/ReloaderTest.java
@@ -9,6 +9,7 @@
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Workers;
+import holdmux.discovery.Agents;
 import holdmux.discovery.Watch;
 import java.io.FileNotFoundException;
 import java.io.IOException;
@@ -36,7 +37,7 @@
             Config config = Config.load(Map.of("BALANCER_CONFIG", file.toString()), 0);
             Pooler pooler = new Pooler(config, List.of(), new Clock());
             Counters counters = pooler.services().counters();
-            Watch watch = new Watch(config.discovery(), config.known(), 1, counters, list -> { });
+            Watch watch = new Watch(Agents.only(config.discovery()), config.known(), () -> false, 1, counters, list -> { });
             Semaphore hangUps = new Semaphore(0);
             Deque<Exception> faults = new ArrayDeque<>(List.of(new FileNotFoundException("Too many open files"),
                     new IOException("Input/output error"), new ConfigException("not to be used")));
@@ -65,4 +66,35 @@
             assertEquals(moved, watch.agent());
         }
     }
+
+    /** A file that was half written at the signal used to be refused for good: the old agent was asked for ever. */
+    @Test
+    void aFileThatWasHalfWrittenIsReadAgain(@TempDir Path folder) throws Exception {
+        try (ServerSocket free = new ServerSocket(0)) {
+            Path file = folder.resolve("config.json");
+            String whole = ConfigTest.sample().replace("127.0.0.1:5433", "127.0.0.1:" + free.getLocalPort());
+            Files.writeString(file, whole);
+            Map<String, String> environment = Map.of("BALANCER_CONFIG", file.toString());
+            Config config = Config.load(environment, 0);
+            Pooler pooler = new Pooler(config, List.of(), new Clock());
+            Counters counters = pooler.services().counters();
+            Watch watch = new Watch(Agents.only(config.discovery()), config.known(), () -> false, 1, counters, list -> { });
+            Semaphore hangUps = new Semaphore(0);
+            Workers.lasting("reload", counters, new Reloader(hangUps, config, new Steered(pooler.services(), watch), watch,
+                    counters, inForce -> inForce.reload(environment))).start();
+            String moved = whole.replace("127.0.0.1:8500", "127.0.0.1:8501");
+            Files.writeString(file, moved.substring(0, moved.length() / 2));
+            hangUps.release();
+            while (counters.get(Counter.RELOADS_REFUSED) == 0) {
+                Thread.sleep(1);
+            }
+            assertEquals(config.discovery(), watch.agent());
+            Files.writeString(file, moved);
+            while (counters.get(Counter.RELOADS) == 0) {
+                Thread.sleep(1);
+            }
+            assertEquals(new InetSocketAddress("127.0.0.1", 8_501), watch.agent());
+            assertEquals(1, counters.get(Counter.RELOADS_REFUSED));
+        }
+    }
 }
--- a/pooler/src/test/java/holdmux/core/SendGateTest.java
+++ b/pooler/src/test/java/holdmux/core/SendGateTest.java
@@ -55,6 +55,18 @@
         assertTrue(gate.permits(request, attempt(), Permission.ALLOWED, true, 8), "where a removal is advice");
     }
 
+    /** A new process used to serve from the list of its configuration, in which a server that drains was still up. */
+    @Test
+    void nothingGoesOutBeforeDiscoveryHasConfirmedTheList() {
+        gate.awaitList(true);
+        gate.told(list(ListMode.CACHED, Availability.READY), 1);
+        assertFalse(permits(attempt(), Permission.ALLOWED, 2));
+        assertFalse(gate.permitsProbe(attempt(), false, 2), "a probe neither");
+        gate.awaitList(false);
+        assertTrue(permits(attempt(), Permission.ALLOWED, 3));
+        assertEquals(2, counters.get(Counter.WITHHELD_LIST_UNCONFIRMED));
+    }
+
     @Test
     void nothingGoesOutForARequestThatIsOverOrLate() {
         gate.told(list(ListMode.FULL, Availability.READY), 1);
--- /dev/null
+++ b/pooler/src/test/java/holdmux/discovery/ListVersionsTest.java
@@ -0,0 +1,179 @@
+package holdmux.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import holdmux.config.HostList;
+import holdmux.config.HostList.Host;
+import holdmux.decision.SplitterApi.Availability;
+import holdmux.discovery.ListVersions.Asked;
+import holdmux.discovery.ListVersions.Verdict;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class ListVersionsTest {
+    private static final int SERVERS = 4, STEPS = 60;
+
+    private static HostList list(long seq, boolean whole, Host... hosts) {
+        return new HostList(seq, whole, List.of(hosts));
+    }
+
+    private static Host host(String name, Availability availability) {
+        return new Host(name, null, "", "", 0, availability, 1, 0, false);
+    }
+
+    private final Host up = host("s", Availability.READY);
+    private final ListVersions versions = new ListVersions(list(41, true, up));
+
+    /** The wish for a whole list used to be cleared by whatever was taken next: a move of discovery then went on from the old version. */
+    @Test
+    void onlyAWholeListAskedForSinceMeetsTheWishForOne() {
+        Asked before = versions.asked();
+        versions.wantWhole();
+        HostList change = list(42, false, up);
+        assertEquals(Verdict.TAKE, versions.judge(change, before));
+        versions.taken(change, before);
+        HostList early = list(42, true, up);
+        versions.taken(early, before);
+        assertTrue(versions.wholeWanted(), "asked for before the wish");
+        versions.taken(early, versions.asked());
+        assertFalse(versions.wholeWanted());
+    }
+
+    /** An agent that counts anew used to be taken for one with nothing new, as its answers to watches name no change. */
+    @Test
+    void anAgentThatCountsAnewIsAskedForItsWholeList() {
+        HostList nothing = list(1, false);
+        assertEquals(Verdict.BEHIND, versions.judge(nothing, versions.asked()));
+        versions.sawOlder();
+        assertTrue(versions.wholeWanted());
+        Asked early = versions.asked();
+        HostList whole = list(2, true, up);
+        assertEquals(Verdict.TAKE, versions.judge(whole, early));
+        versions.taken(whole, early);
+        assertEquals(2, versions.version());
+        assertEquals(Verdict.OVERTAKEN, versions.judge(list(43, false, up), early), "asked for under the old numbering");
+    }
+
+    /** A version that moved on without a change used to be taken for the present state. */
+    @Test
+    void anAdvanceWithoutAChangeIsInDoubt() {
+        HostList empty = list(42, false);
+        assertEquals(Verdict.EMPTY_ADVANCE, versions.judge(empty, versions.asked()));
+        versions.advanced(empty);
+        assertTrue(versions.wholeWanted());
+        assertEquals(Verdict.NOTHING_NEW, versions.judge(empty, versions.asked()));
+    }
+
+    /** The only entry of a change could not be read: the version went on over it, and nothing asked for it again. */
+    @Test
+    void anEntryThatCannotBeReadIsAChange() {
+        HostList unfit = new HostList(42, false, List.of(), List.of(new HostList.Unfit("s", "draining", "no dial")));
+        assertEquals(Verdict.TAKE, versions.judge(unfit, versions.asked()));
+    }
+
+    /** Answers that overlap, get lost, advance without a change or follow a renumbering: the agent's state is in force in the end. */
+    @Property(tries = 300, seed = "20261202")
+    void theAgentsStateIsInForceInTheEnd(@ForAll long seed) {
+        World world = new World(new SplittableRandom(seed));
+        for (int i = 0; i < STEPS; i++) {
+            world.step();
+        }
+        world.wish();
+        for (int i = 0; i < 3; i++) {
+            world.answer(world.ask(), false);
+        }
+        assertEquals(world.agent, world.taken);
+    }
+
+    /** An agent with versions, and a caller with calls under way; a version says since when each server is as it is. */
+    private static final class World {
+        private record Call(Asked asked, boolean whole) {}
+
+        final Map<String, Availability> agent = new TreeMap<>();
+        final Map<String, Availability> taken = new TreeMap<>();
+        private final SplittableRandom random;
+        private final Map<String, Long> changedAt = new HashMap<>();
+        private final List<Call> calls = new ArrayList<>();
+        private final ListVersions versions;
+        private long seq = 41;
+
+        World(SplittableRandom random) {
+            this.random = random;
+            for (int i = 0; i < SERVERS; i++) {
+                agent.put("s" + i, Availability.READY);
+                changedAt.put("s" + i, 41L);
+            }
+            taken.putAll(agent);
+            versions = new ListVersions(view(new Call(new Asked(0, 0, 0), true), false));
+        }
+
+        void step() {
+            switch (random.nextInt(6)) {
+                case 0, 1 -> change();
+                case 2 -> calls.add(ask());
+                case 3 -> answerAny(false);
+                case 4 -> answerAny(true);
+                default -> {
+                    if (random.nextInt(5) == 0) {
+                        seq = 1;
+                        changedAt.replaceAll((name, at) -> 1L);
+                    }
+                }
+            }
+        }
+
+        private void change() {
+            String name = "s" + random.nextInt(SERVERS);
+            agent.put(name, random.nextBoolean() ? Availability.READY : Availability.DRAINING);
+            changedAt.put(name, ++seq);
+        }
+
+        void wish() {
+            versions.wantWhole();
+        }
+
+        Call ask() {
+            return new Call(versions.asked(), versions.wholeWanted());
+        }
+
+        private void answerAny(boolean withoutChange) {
+            if (!calls.isEmpty()) {
+                answer(calls.remove(random.nextInt(calls.size())), withoutChange);
+            }
+        }
+
+        void answer(Call call, boolean withoutChange) {
+            HostList list = view(call, withoutChange && !call.whole());
+            switch (versions.judge(list, call.asked())) {
+                case TAKE -> {
+                    list.hosts().forEach(host -> taken.put(host.name(), host.availability()));
+                    versions.taken(list, call.asked());
+                }
+                case NOTHING_NEW -> versions.confirmed();
+                case EMPTY_ADVANCE -> versions.advanced(list);
+                case BEHIND, OLDER -> versions.sawOlder();
+                case OVERTAKEN -> { }
+                default -> throw new AssertionError();
+            }
+        }
+
+        private HostList view(Call call, boolean withoutChange) {
+            List<Host> hosts = new ArrayList<>();
+            agent.forEach((name, availability) -> {
+                if (!withoutChange && (call.whole() || changedAt.get(name) > call.asked().version())) {
+                    hosts.add(host(name, availability));
+                }
+            });
+            return new HostList(seq, call.whole(), hosts);
+        }
+    }
+}
--- a/pooler/src/test/java/holdmux/discovery/WatchTest.java
+++ b/pooler/src/test/java/holdmux/discovery/WatchTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -29,15 +30,20 @@
 
     /** The operators' term for news that earlier calls failed to bring. */
     private static final long TOLD_MS = 6_000;
+    /** What was told binds after this; a process may be held up for so long between its clock and its write. */
+    private static final long GRACE_MS = 2_000, HELD_UP_MS = 150;
+    private static final long CONNECT_MS = 300;
+    private static final CallSchedule ASKED = CallSchedule.ASKED, PUSHED = CallSchedule.PUSHED;
 
     private final Counters counters = new Counters();
     private final LinkedBlockingQueue<Long> taken = new LinkedBlockingQueue<>();
+    private final Semaphore confirmed = new Semaphore(0);
 
     /** Starts a watch at this agent that knows version 41. */
     private void follow(ServerSocket agent) {
         HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
-        Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters,
-                l -> taken.add(l.seq()))).start();
+        Workers.thread("watch", new Watch(Agents.only((InetSocketAddress) agent.getLocalSocketAddress()), known,
+                () -> true, 7, counters, l -> taken.add(l.seq()))).start();
     }
 
     private static String call(ServerSocket agent, String answer) throws Exception {
@@ -79,7 +85,7 @@
      */
     @Test
     void aSilentCallIsMadeAnewBeforeWhatItMissesCounts() throws Exception {
-        assertTrue(CallSchedule.patienceMs(true, 0) <= 3_000 && CallSchedule.patienceMs(false, 0) <= 3_000);
+        assertTrue(ASKED.patienceMs(true, 0) <= 3_000 && ASKED.patienceMs(false, 0) <= 3_000);
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             follow(agent);
             try (Socket silent = agent.accept()) {
@@ -109,18 +115,32 @@
     @Test
     void twoCallsThatFailInAnyWayLeaveTimeForAThird() {
         for (boolean begins : new boolean[] {true, false}) {
-            long most = 0;
-            for (int seed = 0; seed < 2_000; seed++) {
-                SplittableRandom random = new SplittableRandom(seed);
-                most = Math.max(most, CallSchedule.pauseMs(1, random) + CallSchedule.pauseMs(2, random));
-            }
-            long sum = CallSchedule.patienceMs(begins, 0) + CallSchedule.patienceMs(true, 1) + 3 * CallSchedule.CONNECT_MS + most;
+            long sum = untilThirdCall(ASKED, begins) + CONNECT_MS;
             assertTrue(sum <= TOLD_MS - 400, begins + ": " + sum);
         }
-        long returned = CallSchedule.patienceMs(true, 1_000) + CallSchedule.CONNECT_MS + 750;
+        long returned = ASKED.patienceMs(true, 1_000) + 750;
         assertTrue(returned <= 4_000, "a call that was silent as discovery came back, after a new configuration: " + returned);
     }
 
+    /** When the call behind two silent ones is made at the latest, in milliseconds after the first. */
+    private static long untilThirdCall(CallSchedule schedule, boolean begins) {
+        long most = 0;
+        for (int seed = 0; seed < 2_000; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            most = Math.max(most, schedule.pauseMs(1, random) + schedule.pauseMs(2, random));
+        }
+        return schedule.patienceMs(begins, 0) + schedule.patienceMs(true, 1) + most;
+    }
+
+    /** Where lists are pushed, what the agent has binds 2 s later, whether or not a watch is open: two calls may be silent. */
+    @Test
+    void aPushedChangeIsHeardWithinTheGraceWhateverBecameOfTwoCalls() {
+        for (boolean begins : new boolean[] {true, false}) {
+            long sum = untilThirdCall(PUSHED, begins) + HELD_UP_MS;
+            assertTrue(sum <= GRACE_MS, begins + ": " + sum);
+        }
+    }
+
     /** Bytes that drip are no sign of life: each used to give the call its whole patience again. */
     @Test
     void halfAnAnswerIsGivenUpLikeSilence() throws Exception {
@@ -210,7 +230,7 @@
         try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
             HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
             List<Error> faults = new ArrayList<>(List.of(new StackOverflowError()));
-            Workers.thread("watch", new Watch((InetSocketAddress) agent.getLocalSocketAddress(), known, 7, counters, l -> {
+            Workers.thread("watch", new Watch(Agents.only((InetSocketAddress) agent.getLocalSocketAddress()), known, () -> true, 7, counters, l -> {
                 if (!faults.isEmpty()) {
                     throw faults.remove(0);
                 }
@@ -228,11 +248,74 @@
         List<Long> first = new ArrayList<>();
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            first.add(CallSchedule.pauseMs(1, random));
+            first.add(ASKED.pauseMs(1, random));
             assertTrue(first.get(seed) >= 100 && first.get(seed) < 300);
-            long late = CallSchedule.pauseMs(1_000_000, random);
+            long late = ASKED.pauseMs(1_000_000, random);
             assertTrue(late >= 250 && late < 750, "at most " + late);
         }
         assertNotEquals(1, first.stream().distinct().count());
     }
+
+    /** Where lists are pushed, what the agent has counts from the first moment: the first call is not held, later ones shortly. */
+    @Test
+    void aPushedListIsAskedForAtOnceAndConfirmed() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            followPushed(Agents.only((InetSocketAddress) agent.getLocalSocketAddress()));
+            assertEquals("?from=41&hold_ms=0", call(agent, empty(42)));
+            assertEquals("", call(agent, list(42, true)), "a version that names no change is in doubt");
+            assertEquals(42, taken.take());
+            assertEquals("?from=42&hold_ms=0", call(agent, empty(42)));
+            confirmed.acquire();
+            assertEquals("?from=42&hold_ms=400", call(agent, empty(42)));
+            assertEquals(1, counters.get(Counter.EMPTY_ADVANCES));
+        }
+    }
+
+    /** A process whose environment names an agent that has left used to call nobody else, for ever. */
+    @Test
+    void anAgentThatTheFileNamesIsCalledWhereTheFirstIsGone() throws Exception {
+        try (ServerSocket gone = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"));
+                ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress first = (InetSocketAddress) gone.getLocalSocketAddress();
+            gone.close();
+            followPushed(new Agents(first, (InetSocketAddress) agent.getLocalSocketAddress()));
+            call(agent, empty(41));
+            confirmed.acquire();
+            assertEquals("?from=41&hold_ms=400", call(agent, empty(41)), "it is the one that is followed");
+        }
+    }
+
+    /** An entry without a name used to be passed over: what it had to tell was never asked for again. */
+    @Test
+    void anEntryThatCannotBeReadHasTheWholeListAskedFor() throws Exception {
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            followPushed(Agents.only((InetSocketAddress) agent.getLocalSocketAddress()));
+            call(agent, answer("{\"seq\":42,\"whole\":false,\"hosts\":[{\"health\":\"draining\"}]}"));
+            assertEquals("", call(agent, list(42, true)));
+            confirmed.acquire();
+        }
+    }
+
+    private void followPushed(Agents agents) {
+        HostList known = HostList.decode("{\"seq\":41,\"whole\":true,\"hosts\":[" + HOST + "]}");
+        Workers.thread("watch", new Watch(agents, known, () -> false, 7, counters, new ListListener() {
+            @Override
+            public void changed(HostList list) {
+                taken.add(list.seq());
+            }
+
+            @Override
+            public void confirmed() {
+                confirmed.release();
+            }
+        })).start();
+    }
+
+    private static String empty(long seq) {
+        return answer("{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[]}");
+    }
+
+    private static String answer(String body) {
+        return "200 OK\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
 }
