Keep whether the list is trusted in a class of its own; a list taken in vain is unreadable too

A list that could be read and could not be taken in by a fault here left the old one in force with no bound: it now counts as unreadable. A whole list behind a long silence is not asked for a second time.

--- a/pooler/src/main/java/holdmux/discovery/Watch.java
+++ b/pooler/src/main/java/holdmux/discovery/Watch.java
@@ -30,12 +30,6 @@
     private static final long LONG_SILENCE_MS = 5_000;
     /** An agent that answers watches at once without news is not asked more often than this; a watch goes on within 200 ms. */
     private static final long LEAST_TURN_MS = 100;
-    /**
-     * How long the list in force is trusted behind an answer that could not be read. What that had to tell binds 2 s after it
-     * was written; what is under way by then may still be held up.
-     */
-    private static final long DISTRUST_NS = 1_200 * Clock.MS;
-
     private final Counters counters;
     private final BooleanSupplier mustAsk;
     private final ListListener lists;
@@ -58,11 +52,7 @@
     /** When a call was last answered, and the longest time between two answers so far. */
     private long answeredAt;
     private long longestUnconfirmedMs;
-    /** Whether the list in force is known to be the present one: not before an answer, nor long behind unreadable ones. */
-    private boolean trusted;
-    /** Since when answers could not be read with no readable one asked for since, 0 for not; and the last query of that time. */
-    private long unreadableSince;
-    private long unreadableQuery;
+    private final ListTrust trust = new ListTrust();
     private long lastQuery;
     /** Whether the next call begins a watch, as the first one and all behind a failure do. */
     private boolean begins = true;
@@ -111,11 +101,10 @@
     /** Waits for what is due, and does it. */
     private synchronized void turn() throws InterruptedException {
         long now = System.nanoTime();
-        boolean doubted = trusted && unreadableSince != 0;
-        long left = doubted ? Math.min(due, unreadableSince + DISTRUST_NS) - now : due - now;
+        long left = trust.isAtRisk() ? Math.min(due - now, trust.leftNs(now)) : due - now;
         if (left > 0) {
             wait(Clock.millisUp(left));
-        } else if (doubted && now - unreadableSince >= DISTRUST_NS) {
+        } else if (trust.isAtRisk() && trust.leftNs(now) <= 0) {
             distrust();
         } else if (current != null) {
             overdue();
@@ -157,7 +146,7 @@
     }
 
     private synchronized boolean isTrusted() {
-        return trusted;
+        return trust.isTrusted();
     }
 
     private static long nowMs() {
@@ -216,17 +205,15 @@
     }
 
     private void distrust() {
-        trusted = false;
+        trust.distrust();
         counters.count(Counter.LISTS_DISTRUSTED);
-        Log.warn("discovery's answers cannot be read since " + (System.nanoTime() - unreadableSince) / Clock.MS
-                + " ms: requests are refused until one can, version " + versions.version() + " in force");
+        Log.warn("discovery's answers cannot be read: requests are refused until one can, version " + versions.version()
+                + " in force");
         lists.distrusted();
     }
 
-    /** An answer came, or a part of one, that cannot be read: what it had to tell counts as told. */
     private void unreadable() {
-        unreadableSince = unreadableSince == 0 ? System.nanoTime() : unreadableSince;
-        unreadableQuery = lastQuery;
+        trust.unreadable(lastQuery, System.nanoTime());
         notifyAll();
     }
 
@@ -252,40 +239,35 @@
         }
         HostList list = HostList.decode(response.body());
         take(list, call);
-        answeredBy(call);
+        answeredBy(call, list.whole());
         endBefore(call);
         return goOn(call, response.keepAlive(), list);
     }
 
     /** Notes that a call was answered with a list that could be used. */
-    private void answeredBy(DiscoveryCall call) {
+    private void answeredBy(DiscoveryCall call, boolean whole) {
         long silentMs = confirmedMsAgo();
         longestUnconfirmedMs = Math.max(longestUnconfirmedMs, silentMs);
         answeredAt = System.nanoTime();
         if (silentMs > LONG_SILENCE_MS) {
             counters.count(Counter.LONG_SILENCES);
-            wholeLists.doubted(nowMs()); // whoever answers now may be another agent than before
+            if (!whole) {
+                wholeLists.doubted(nowMs()); // whoever answers now may be another agent than before
+            }
         }
         if (failures > 0) {
             Log.info("discovery answers again after " + failures + " failed calls and " + silentMs + " ms");
             failures = 0;
         }
-        if (unreadableSince != 0 && call.query().number() > unreadableQuery) {
-            unreadableSince = 0;
-        }
-        if (!trusted && unreadableSince == 0 && !isInDoubt()) {
-            trust(call);
+        trust.readable(call.query().number());
+        if (!isInDoubt() && trust.trust()) {
+            agent = alternative == null ? agent : call.agent();
+            alternative = null;
+            lists.confirmed();
+            Log.info("discovery call " + call.number() + " to " + call.agent() + " confirms version " + versions.version());
         }
     }
 
-    private void trust(DiscoveryCall call) {
-        trusted = true;
-        agent = alternative == null ? agent : call.agent();
-        alternative = null;
-        lists.confirmed();
-        Log.info("discovery call " + call.number() + " to " + call.agent() + " confirms version " + versions.version());
-    }
-
     /** Whether the whole list is to be asked for since the one in force may lack something. */
     private boolean isInDoubt() {
         return versions.wholeWanted() || wholeLists.isDue(nowMs());
@@ -377,7 +359,8 @@
             counters.count(Counter.LISTS_REFUSED);
             versions.wantWhole();
         }
-        if (unfit || call.isWithinAnswer()) {
+        boolean takenInVain = !(cause instanceof IOException); // by a fault of ours, or of what it told
+        if (unfit || takenInVain || call.isWithinAnswer()) {
             unreadable();
         }
         if (call == current) {
