--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,7 @@
 BULK_CLIENTS = 6
 BULK_BYTES = 4 << 20  # the longest value that the pages name
 BULK_SECONDS = 10  # the time in which one of them is written, in pieces
+STAGGER_S = 0.5  # between the beginnings of two of them
 PIECES = 100  # one every 0.1 s: no pause comes near the 2 s that a client may take
 QUOTE_BYTES = 8 << 10  # an ordinary value
 RUN_SECONDS = 25
@@ -65,7 +66,7 @@
 
 async def bulk(record, site, number, trouble):
     """Writes one value of 4 MiB, slowly or at once, and reads its answer."""
-    await asyncio.sleep(2 + 0.05 * number)
+    await asyncio.sleep(2 + STAGGER_S * number)
     client = await s.Client(site.port).connect()
     request_id = s.new_id()
     data = s.query(s.insert(f"bulk{number}", "ab" * BULK_BYTES, request_id, "save-quote", 5000))
