PoolerTest: wait until the pooler has noticed a closed client before filling its cap

idleClientsMakeRoomForNewOnes failed once in a run of the module's tests ("expected: <IZ> but was: <|>"). Traced: the test closes a client and connects the next one at once. If the pooler has not yet seen the close, its cap is still full, and it rightly closes one more of the clients that have asked nothing, which the test then asks.

The test now waits, behind each client that it closes, until the pooler holds exactly the clients that the test has open, and fails if that never comes; everything that it asserted before stands.

--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -383,13 +383,16 @@
             send(kept.get(1), m -> query(m, "SELECT 1")); // nor does a query that cannot be served
             assertEquals("E42601Z", readTypes(kept.get(1), 1));
             assertEquals("hello IZ", ask(""), "the oldest client without a request is closed");
+            awaitOpenClients(SOCKETS / 2 - 1);
             assertEquals("|", readTypes(kept.get(0), 1));
             assertEquals("hello IZ", ask(""), "one place is free");
+            awaitOpenClients(SOCKETS / 2 - 1);
             Socket late = client();
             send(late, PoolerTest::startup);
             assertEquals("hello ", readTypes(late, 1));
             kept.add(late);
             assertEquals("hello IZ", ask(""), "the next oldest is closed");
+            awaitOpenClients(SOCKETS / 2 - 1);
             assertEquals("|", readTypes(kept.get(1), 1));
             kept.subList(0, 2).clear();
             for (Socket client : kept) {
@@ -678,6 +681,14 @@
         }
     }
 
+    /** Waits until the pooler has noticed that clients have closed their connections. */
+    private void awaitOpenClients(int expected) {
+        for (int i = 0; i < 300 && front.openClients() != expected; i++) {
+            sleep(10);
+        }
+        assertEquals(expected, front.openClients());
+    }
+
     private void awaitIncrement(Counter counter, long before) {
         for (int i = 0; i < 300 && counters.get(counter) == before; i++) {
             sleep(10);
