Server connections: DISCARD ALL behind each answer keeps late copies from the next request

Cause: ServerPool.exchange put a connection back once ReadyForQuery was parsed, and IdleConnections.take looked for late bytes only by one read without blocking. A copy still on its way at that moment was read as the next request's answer. Nothing told answers that are shifted by one. Evidence: the new tests hold the copy back until the next message on its connection has come; on both failed ("expected: <second> but was: <first>", "expected: <[9c, 9c, 9d]> but was: <[9c, 9c, 9c, 9d]>").

Fix: a query without effect is written behind each answer, without waiting; the connection is reused only once exactly its response has come. Servers answer a connection in order, so nothing of the earlier request can come later, whatever the delay. If no kept connection is ready, the attempt waits for one as it would for a connect. A late copy of the response is skipped; an answer that is neither a result nor an error ends its connection, as do bytes behind a greeting; a server that drains gets no such query. server_surplus_closes counts what was found.

Ruled out: copies in the same read as their answer (closed before, too).

--- a/flight/src/main/java/holdmux/flight/FlightConnection.java
+++ b/flight/src/main/java/holdmux/flight/FlightConnection.java
@@ -1,6 +1,7 @@
 package holdmux.flight;
 
 import holdmux.core.IdleConnections;
+import holdmux.core.IdleConnections.Readiness;
 import io.grpc.ConnectivityState;
 import io.grpc.ManagedChannel;
 import io.grpc.netty.NettyChannelBuilder;
@@ -46,8 +47,8 @@
     }
 
     @Override
-    public boolean isReusable() {
-        return channel.getState(false) == ConnectivityState.READY;
+    public Readiness readiness() {
+        return channel.getState(false) == ConnectivityState.READY ? Readiness.READY : Readiness.BROKEN;
     }
 
     @Override
--- a/pooler/src/main/java/holdmux/core/IdleConnections.java
+++ b/pooler/src/main/java/holdmux/core/IdleConnections.java
@@ -15,6 +15,20 @@
 public final class IdleConnections<C extends IdleConnections.Connection> {
     /** Divides the servers' idle time-out: connections are closed after half of it, which avoids a race with the server's close. */
     private static final int IDLE_TIMEOUT_DIVISOR = 2;
+    /** An exchange that has not ended this long after its answer never will: the end follows within a round trip. */
+    private static final long MAX_NOT_YET_NS = 250 * Clock.MS;
+
+    /** Whether a connection can take another request. */
+    public enum Readiness {
+        /** It is open, and nothing of an earlier exchange is still to come. */
+        READY,
+        /** It is open, but the end of an earlier exchange has not been received. */
+        NOT_YET,
+        /** It is closed, or its last exchange does not end. */
+        BROKEN,
+        /** Something was received that belongs to no exchange. */
+        SURPLUS
+    }
 
     /** A connection to one server. */
     public interface Connection {
@@ -24,15 +38,15 @@
         /** Returns the address that the connection was opened to. */
         InetSocketAddress address();
 
-        /** Whether the connection is open and has nothing to read, neither an end of stream nor late data. */
-        boolean isReusable();
+        /** Checks without blocking whether the connection can take another request. */
+        Readiness readiness();
 
         /** Closes the connection; never throws. */
         void close();
     }
 
-    /** An idle connection, with the deadline at which it is closed. */
-    private record Idle<C>(C connection, Deadline closeDeadline) {}
+    /** An idle connection, with the time since when it is idle and the deadline at which it is closed. */
+    private record Idle<C>(C connection, long since, Deadline closeDeadline) {}
 
     private final ServerRegistry registry;
     private final Clock clock;
@@ -55,36 +69,61 @@
         this.serverIdleTimeoutNs = serverIdleTimeoutNs;
     }
 
-    /** Removes and returns a reusable idle connection to a server, or returns null if there is none. */
+    /**
+     * Removes and returns an idle connection to a server: the last used that is ready, or else the one that will be ready
+     * first, which its user has to wait for. Returns null if there is none.
+     */
     public C take(long serverId) {
-        while (true) {
-            Idle<C> found;
-            synchronized (this) {
-                Deque<Idle<C>> queue = idleByServer.get(serverId);
-                found = queue == null ? null : queue.peekLast();
-                if (found == null) {
-                    return null;
+        Deque<Idle<C>> notYet = new ArrayDeque<>(0);
+        try {
+            for (Idle<C> found = removeLatest(serverId); found != null; found = removeLatest(serverId)) {
+                switch (readiness(found)) {
+                    case READY -> {
+                        return found.connection();
+                    }
+                    case NOT_YET -> notYet.addFirst(found);
+                    case BROKEN -> discardUnusable(found.connection(), Counter.SERVER_STALE_CLOSES);
+                    case SURPLUS -> discardUnusable(found.connection(), Counter.SERVER_SURPLUS_CLOSES);
                 }
-                remove(found);
-            }
-            C connection = found.connection();
-            if (connection.address().equals(registry.address(serverId)) && connection.isReusable()) {
-                return connection;
             }
-            counters.count(Counter.SERVER_STALE_CLOSES);
-            discard(connection);
+            return notYet.isEmpty() ? null : notYet.removeFirst().connection();
+        } finally {
+            notYet.forEach(idle -> add(idle.connection(), idle.since(), idle.closeDeadline().at()));
+        }
+    }
+
+    private Readiness readiness(Idle<C> idle) {
+        C connection = idle.connection();
+        if (!connection.address().equals(registry.address(connection.serverId()))) {
+            return Readiness.BROKEN;
+        }
+        Readiness readiness = connection.readiness();
+        boolean overdue = readiness == Readiness.NOT_YET && clock.now() - idle.since() > MAX_NOT_YET_NS;
+        return overdue ? Readiness.BROKEN : readiness;
+    }
+
+    /** Removes and returns the connection to a server that became idle last, or returns null if there is none. */
+    private synchronized Idle<C> removeLatest(long serverId) {
+        Deque<Idle<C>> queue = idleByServer.get(serverId);
+        if (queue == null) {
+            return null;
         }
+        Idle<C> latest = queue.peekLast();
+        remove(latest);
+        return latest;
     }
 
     /** Puts a connection that is no longer in use into the pool. */
     public void keep(C connection) {
-        synchronized (this) {
-            Deque<Idle<C>> queue = idleByServer.computeIfAbsent(connection.serverId(), s -> new ArrayDeque<>());
-            long closeAt = clock.now() + serverIdleTimeoutNs.getAsLong() / IDLE_TIMEOUT_DIVISOR;
-            Idle<C> kept = new Idle<>(connection, deadlines.at(closeAt, () -> closeIdle(connection)));
-            queue.addLast(kept);
-            byDeadline.put(kept.closeDeadline(), connection);
-        }
+        long now = clock.now();
+        add(connection, now, now + serverIdleTimeoutNs.getAsLong() / IDLE_TIMEOUT_DIVISOR);
+    }
+
+    private synchronized void add(C connection, long since, long closeAt) {
+        Deque<Idle<C>> queue = idleByServer.computeIfAbsent(connection.serverId(), s -> new ArrayDeque<>());
+        Idle<C> added = new Idle<>(connection, since, deadlines.at(closeAt, () -> closeIdle(connection)));
+        queue.addLast(added);
+        byDeadline.put(added.closeDeadline(), connection);
     }
 
     /** Removes an entry from the pool; must be called with this object's monitor held. */
@@ -99,6 +138,12 @@
         deadlines.cancel(entry.closeDeadline());
     }
 
+    /** Closes a connection that was found not ready when it was to be used, and counts the reason. */
+    public void discardUnusable(C connection, Counter reason) {
+        counters.count(reason);
+        discard(connection);
+    }
+
     /** Closes a connection that is not in the pool and releases its slot. */
     public void discard(C connection) {
         connection.close();
--- a/pooler/src/main/java/holdmux/core/ServerRegistry.java
+++ b/pooler/src/main/java/holdmux/core/ServerRegistry.java
@@ -63,6 +63,12 @@
         return addressesById.get(serverId);
     }
 
+    /** Whether a server is listed and neither drains nor is excluded by operators. */
+    public synchronized boolean acceptsWork(long serverId) {
+        Host host = hostsByName.get(namesById.get(serverId));
+        return host != null && host.availability() == Availability.READY && !excluded.containsKey(host.name());
+    }
+
     /** Whether any server of this group was ever listed. */
     public synchronized boolean hasGroup(int group) {
         return groups.contains(group);
--- a/pooler/src/main/java/holdmux/pg/Answer.java
+++ b/pooler/src/main/java/holdmux/pg/Answer.java
@@ -23,7 +23,8 @@
     private static final byte[] READY_FOR_QUERY = {'Z', 0, 0, 0, 5, 'I'};
 
     final byte[] buffer;
-    private final ServerStatus status;
+    private final ServerStatus.ReportFormat reportFormat;
+    private ServerStatus status;
     private int parsedBytes;
     private int resultStart = NONE, resultEnd = NONE, valueStart, valueLength = NONE;
     private int rowCount, commandCompleteStart;
@@ -35,6 +36,7 @@
 
     Answer(byte[] buffer, ServerStatus.ReportFormat reportFormat) {
         this.buffer = buffer;
+        this.reportFormat = reportFormat;
         status = new ServerStatus(reportFormat);
     }
 
@@ -126,12 +128,24 @@
             }
             case 'E' -> sqlState = sqlState(from, to);
             case 'S' -> parseParameterStatus(from, to);
-            case 'Z' -> hasReadyForQuery = true;
+            case 'Z' -> endAnswer();
             case 'I', 'N', 'R', 'K' -> { }
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "unexpected message type " + (int) type);
         }
     }
 
+    /** Notes ReadyForQuery; behind a second copy of a {@link SyncQuery}'s response the answer is still to come. */
+    private void endAnswer() {
+        boolean isSyncResponse = hasCommandComplete && !hasRowDescription && sqlState == null
+                && decodeText(commandCompleteStart + MessageBuilder.HEADER_BYTES, resultEnd - 1).equals(SyncQuery.COMMAND);
+        if (isSyncResponse) {
+            hasCommandComplete = false;
+            status = new ServerStatus(reportFormat);
+        } else {
+            hasReadyForQuery = true;
+        }
+    }
+
     private static void checkOrder(boolean inOrder) throws ProtocolException {
         if (!inOrder) {
             throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "result messages out of order");
@@ -199,11 +213,16 @@
         out.write(buffer, valueStart, Math.max(0, valueLength));
     }
 
-    /** Whether ReadyForQuery was received with no bytes behind it, so that the connection can be reused. */
-    boolean endedCleanly() {
+    /** Whether ReadyForQuery was received with no bytes behind it. */
+    boolean endedWithReadyForQuery() {
         return hasReadyForQuery && !hasTrailingBytes;
     }
 
+    /** Whether a result or an error was received in full with no bytes behind it, so that the connection can be reused. */
+    boolean endedCleanly() {
+        return endedWithReadyForQuery() && (isServed() || sqlState != null);
+    }
+
     /** Whether one row and its CommandComplete were received, even if the connection broke after that. */
     boolean isServed() {
         return hasRowDescription && rowCount == 1 && hasCommandComplete && sqlState == null;
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -3,6 +3,7 @@
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import holdmux.core.IdleConnections;
+import holdmux.core.IdleConnections.Readiness;
 import holdmux.core.ServerStatus;
 import holdmux.statement.BufferPool;
 import holdmux.statement.SqlState;
@@ -34,6 +35,10 @@
     private final InetSocketAddress address;
     private final SocketChannel channel;
     private final BufferPool buffers;
+    /** Whether a query was written since the connection was opened or last synchronized. */
+    private boolean used;
+    /** The query written behind the last answer, until its response is complete; null if there is none. */
+    private SyncQuery pendingSync;
 
     /** Creates a connection that is not opened yet. */
     ServerConnection(long serverId, InetSocketAddress address, BufferPool buffers) throws IOException {
@@ -68,6 +73,7 @@
         int length = parts.stream().mapToInt(ByteBuffer::remaining).sum();
         if (length > BufferPool.BUFFER_SIZE) {
             boolean valid = mayWrite.getAsBoolean();
+            used |= valid;
             for (ByteBuffer part : valid ? parts : List.<ByteBuffer>of()) {
                 write(part);
             }
@@ -78,6 +84,7 @@
             ByteBuffer message = ByteBuffer.wrap(buffer);
             parts.forEach(message::put);
             boolean valid = mayWrite.getAsBoolean();
+            used |= valid;
             if (valid) {
                 write(message.flip());
             }
@@ -87,6 +94,11 @@
         }
     }
 
+    /** Writes the startup packet. */
+    void sendStartup(ByteBuffer packet) throws IOException {
+        write(packet);
+    }
+
     private void write(ByteBuffer bytes) throws IOException {
         while (bytes.hasRemaining()) {
             channel.write(bytes);
@@ -187,18 +199,76 @@
         return address;
     }
 
+    /**
+     * Prepares a connection whose answer is complete for its next query: writes a {@link SyncQuery} and returns before its
+     * response. Does nothing if no query was written since the last time. False if the connection cannot be used again.
+     */
+    boolean synchronize() {
+        if (!used) {
+            return true;
+        }
+        try {
+            ByteBuffer message = SyncQuery.message();
+            channel.configureBlocking(false);
+            channel.write(message);
+            used = false;
+            pendingSync = new SyncQuery();
+            return !message.hasRemaining();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
-    public boolean isReusable() {
+    public Readiness readiness() {
         try {
             channel.configureBlocking(false);
-            int received = channel.read(ByteBuffer.allocate(1));
+            Readiness readiness = pendingSync == null ? checkSilence() : receiveSyncResponse();
             channel.configureBlocking(true);
-            return received == 0;
+            return readiness;
         } catch (IOException e) {
-            return false;
+            return Readiness.BROKEN;
+        }
+    }
+
+    /** Whether the end of the last exchange has been received, so that a query can be written. */
+    boolean isSynchronized() {
+        return pendingSync == null;
+    }
+
+    /** Blocks until the last exchange has ended or the connection is found unusable. */
+    Readiness awaitSynchronized() {
+        try {
+            channel.configureBlocking(true);
+            Readiness readiness = Readiness.NOT_YET;
+            while (readiness == Readiness.NOT_YET) {
+                readiness = receiveSyncResponse();
+            }
+            return readiness;
+        } catch (IOException e) {
+            return Readiness.BROKEN;
         }
     }
 
+    private Readiness checkSilence() throws IOException {
+        int received = channel.read(ByteBuffer.allocate(1));
+        return received == 0 ? Readiness.READY : received < 0 ? Readiness.BROKEN : Readiness.SURPLUS;
+    }
+
+    private Readiness receiveSyncResponse() throws IOException {
+        if (channel.read(pendingSync.received()) < 0) {
+            return Readiness.BROKEN;
+        }
+        return switch (pendingSync.parse()) {
+            case PENDING -> Readiness.NOT_YET;
+            case UNEXPECTED -> Readiness.SURPLUS;
+            case COMPLETE -> {
+                pendingSync = null;
+                yield Readiness.READY;
+            }
+        };
+    }
+
     @Override
     public void close() {
         try {
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -8,6 +8,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.Deadlines.Deadline;
 import holdmux.core.IdleConnections;
+import holdmux.core.IdleConnections.Readiness;
 import holdmux.core.Reply;
 import holdmux.core.ServerRegistry;
 import holdmux.core.ServerSlots;
@@ -70,7 +71,7 @@
         boolean reusable = false;
         boolean streaming = false;
         try {
-            connection = idle.take(attempt.serverId);
+            connection = takeIdle(attempt);
             if (connection != null) {
                 counters.count(Counter.SERVER_REUSES);
                 if (!attempt.attachConnection(connection)) {
@@ -136,6 +137,29 @@
         }
     }
 
+    /** Returns an idle connection on which the last exchange has ended, or null; waits for that end for as long as for a connect. */
+    private ServerConnection takeIdle(Attempt attempt) {
+        ServerConnection connection = idle.take(attempt.serverId);
+        while (connection != null && !connection.isSynchronized()) {
+            Readiness readiness = attempt.attachConnection(connection) ? awaitSynchronized(connection, attempt) : Readiness.BROKEN;
+            if (readiness == Readiness.READY) {
+                return connection;
+            }
+            idle.discardUnusable(connection, readiness == Readiness.SURPLUS ? Counter.SERVER_SURPLUS_CLOSES : Counter.SERVER_STALE_CLOSES);
+            connection = idle.take(attempt.serverId);
+        }
+        return connection;
+    }
+
+    private Readiness awaitSynchronized(ServerConnection connection, Attempt attempt) {
+        Deadline timeout = deadlines.after(deployment.get().connectTimeoutNs(), () -> attempt.abort(Outcome.CONNECT_FAILED));
+        try {
+            return connection.awaitSynchronized();
+        } finally {
+            deadlines.cancel(timeout);
+        }
+    }
+
     /** Opens a connection; returns null, or the SQLSTATE with which the server refused it. */
     private String open(ServerConnection connection, Attempt attempt) throws IOException, ProtocolException {
         counters.count(Counter.SERVER_CONNECTS);
@@ -146,10 +170,13 @@
         Deadline timeout = deadlines.after(deployment.get().connectTimeoutNs(), () -> attempt.abort(Outcome.CONNECT_FAILED));
         try {
             connection.connect(waitNs);
-            connection.send(List.of(new MessageBuilder(new byte[STARTUP_BYTES]).beginUntyped().put(MessageBuilder.PROTOCOL_3).put("user")
-                    .put("holdmux").put("database").put("crm").put('\0').end().bytes()), () -> true);
+            connection.sendStartup(new MessageBuilder(new byte[STARTUP_BYTES]).beginUntyped().put(MessageBuilder.PROTOCOL_3).put("user")
+                    .put("holdmux").put("database").put("crm").put('\0').end().bytes());
             Answer response = connection.receive(reportFormat, deadlines);
             buffers.release(response.buffer);
+            if (response.sqlState() == null && !response.endedWithReadyForQuery()) {
+                throw new IOException("the server sent more than its greeting");
+            }
             return response.sqlState();
         } finally {
             deadlines.cancel(timeout);
@@ -181,7 +208,7 @@
 
     /** Keeps a connection for reuse or closes it. */
     private void releaseConnection(ServerConnection connection, boolean reusable) {
-        if (reusable) {
+        if (reusable && registry.acceptsWork(connection.serverId()) && connection.synchronize()) {
             idle.keep(connection);
         } else {
             idle.discard(connection);
--- /dev/null
+++ b/pooler/src/main/java/holdmux/pg/SyncQuery.java
@@ -0,0 +1,74 @@
+package holdmux.pg;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * A query without effect that is written behind each answer, and the parser of its response. A server answers the queries of
+ * a connection in order, so bytes received before this response belong to an earlier query, however late they come.
+ */
+final class SyncQuery {
+    /** How much of the response has been received. */
+    enum Progress {
+        /** Part of the response, or all of it, is still to come. */
+        PENDING,
+        /** The response is complete, with nothing before or behind it. */
+        COMPLETE,
+        /** Something other than the response was received. */
+        UNEXPECTED
+    }
+
+    /** Leaves an idle session as a new one would be; every server answers it at once. Its CommandComplete has the same text. */
+    static final String COMMAND = "DISCARD ALL";
+    /** Room for CommandComplete, ReadyForQuery and the ParameterStatus messages that a server sends with each answer. */
+    private static final int MAX_RESPONSE_BYTES = 1_024;
+
+    private final ByteBuffer received = ByteBuffer.allocate(MAX_RESPONSE_BYTES);
+    private int parsedBytes;
+    private boolean hasCommandComplete, hasReadyForQuery;
+
+    /** Returns a new Query message with the command. */
+    static ByteBuffer message() {
+        List<ByteBuffer> parts = PgUpstream.queryMessage(List.of(ByteBuffer.wrap(COMMAND.getBytes(StandardCharsets.US_ASCII))));
+        ByteBuffer message = ByteBuffer.allocate(parts.stream().mapToInt(ByteBuffer::remaining).sum());
+        parts.forEach(message::put);
+        return message.flip();
+    }
+
+    /** The buffer that received bytes are to be appended to, followed by {@link #parse}. */
+    ByteBuffer received() {
+        return received;
+    }
+
+    /** Parses what was received so far. */
+    Progress parse() {
+        while (received.position() - parsedBytes >= MessageBuilder.HEADER_BYTES) {
+            int size = received.getInt(parsedBytes + 1);
+            if (size < Integer.BYTES || size > received.capacity() - parsedBytes - 1 || !accept((char) received.get(parsedBytes))) {
+                return Progress.UNEXPECTED;
+            }
+            if (received.position() - parsedBytes < 1 + size) {
+                return Progress.PENDING;
+            }
+            parsedBytes += 1 + size;
+            if (hasReadyForQuery) {
+                return parsedBytes == received.position() ? Progress.COMPLETE : Progress.UNEXPECTED;
+            }
+        }
+        return Progress.PENDING;
+    }
+
+    /** Notes a message of this type; false if it cannot be part of the response. */
+    private boolean accept(char type) {
+        switch (type) {
+            case 'S', 'N' -> { }
+            case 'C' -> hasCommandComplete = true;
+            case 'Z' -> hasReadyForQuery = true;
+            default -> {
+                return false;
+            }
+        }
+        return hasCommandComplete || !hasReadyForQuery;
+    }
+}
--- a/pooler/src/test/java/holdmux/core/IdleConnectionsTest.java
+++ b/pooler/src/test/java/holdmux/core/IdleConnectionsTest.java
@@ -2,9 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdmux.config.HostList;
 import holdmux.core.Counters.Counter;
+import holdmux.core.IdleConnections.Readiness;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +17,7 @@
 class IdleConnectionsTest {
     private final List<Long> closed = new ArrayList<>();
 
-    private record FakeConnection(long serverId, InetSocketAddress address, boolean isReusable, List<Long> closed)
+    private record FakeConnection(long serverId, InetSocketAddress address, Readiness readiness, List<Long> closed)
             implements IdleConnections.Connection {
         @Override
         public void close() {
@@ -21,8 +25,29 @@
         }
     }
 
+    /** Guards against using a connection before its last exchange has ended while another is ready, and against opening a new one. */
+    @Test
+    void aReadyConnectionIsPreferredToOneThatHasToBeWaitedFor() {
+        Clock clock = new Clock();
+        ServerRegistry registry = new ServerRegistry(List.of(), List.of());
+        long server = registry.apply(HostList.decode("{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s-1\","
+                + "\"dial\":\"127.0.0.1:5433\",\"block\":2,\"health\":\"up\"}]}"), false).lines().get(0).store();
+        IdleConnections<FakeConnection> idle = new IdleConnections<>(registry, clock, new Deadlines(clock), new Counters(),
+                new ServerSlots(9, new OtherProcess()), () -> 15_000 * Clock.MS);
+        List<FakeConnection> kept = new ArrayList<>();
+        for (Readiness readiness : List.of(Readiness.READY, Readiness.NOT_YET, Readiness.NOT_YET, Readiness.BROKEN)) {
+            kept.add(new FakeConnection(server, registry.address(server), readiness, closed));
+            idle.keep(kept.get(kept.size() - 1));
+        }
+        assertSame(kept.get(0), idle.take(server));
+        assertEquals(List.of(server), closed, "the broken one");
+        assertSame(kept.get(1), idle.take(server), "the one that was used first will be ready first");
+        assertSame(kept.get(2), idle.take(server));
+        assertNull(idle.take(server));
+    }
+
     private FakeConnection connectionTo(long serverId) {
-        return new FakeConnection(serverId, null, true, closed);
+        return new FakeConnection(serverId, null, Readiness.READY, closed);
     }
 
     /** Guards against idle connections to many servers using up the limit when a request needs one to another server. */
--- a/pooler/src/test/java/holdmux/pg/AnswerTest.java
+++ b/pooler/src/test/java/holdmux/pg/AnswerTest.java
@@ -115,6 +115,28 @@
         assertFalse(answer.endedCleanly());
     }
 
+    /** Guards against taking the late second copy of a sync query's response for the answer to the next request. */
+    @Test
+    void aSyncResponseIsNotAnAnswer() throws ProtocolException {
+        Answer answer = new Answer(new byte[2_048], REPORT_FORMAT);
+        MessageBuilder message = new MessageBuilder(answer.buffer);
+        message.begin('C').put(SyncQuery.COMMAND).end().parameterStatus("replication_role", "primary").readyForQuery();
+        assertFalse(answer.parse(message.bytes().remaining()));
+        AnswerTest.result(message, "v").readyForQuery();
+        assertTrue(answer.parse(message.bytes().remaining()));
+        assertEquals(Outcome.OK, answer.reply().outcome());
+        assertEquals(Role.UNKNOWN, answer.reply().role(), "the role told with the response is as old as the response");
+        assertTrue(answer.endedCleanly());
+    }
+
+    /** Guards against reusing a connection whose answer has no result: what was received may be an earlier query's. */
+    @Test
+    void anAnswerWithoutAResultPreventsReuseOfItsConnection() throws ProtocolException {
+        Answer answer = answer(bytes(MessageBuilder::readyForQuery));
+        assertEquals(Outcome.ERROR, answer.reply().outcome());
+        assertFalse(answer.endedCleanly());
+    }
+
     /** Guards against NaN and other invalid values reaching the decision module, whose averages would never recover. */
     @Test
     void anUnreadableReportIsIgnored() throws ProtocolException {
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -79,6 +79,8 @@
     /** If not null, sent instead of {@link #answerScript}, one piece per permit of {@link #nextPiece}. */
     private volatile byte[][] pieces;
     private final Semaphore nextPiece = new Semaphore(0);
+    /** Delays the second copy of the answer with this index until the next message on its connection has come; -1 for none. */
+    private volatile int copiedAnswer = -1;
     /** Runs before the server completes the startup of a connection. */
     private volatile Runnable beforeGreeting = () -> { };
 
@@ -143,13 +145,19 @@
             in.readNBytes(in.readInt() - 4);
             beforeGreeting.run();
             send(socket, m -> m.begin('R').put(0).end().readyForQuery());
+            Consumer<MessageBuilder> delayedCopy = m -> { };
             while (in.read() == 'Q') {
                 String query = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8).replace("\0", "");
-                if (query.startsWith("SHOW")) {
+                send(socket, delayedCopy);
+                delayedCopy = m -> { };
+                if (query.equals(SyncQuery.COMMAND)) {
+                    send(socket, m -> m.begin('C').put(query).end().readyForQuery());
+                } else if (query.startsWith("SHOW")) {
                     send(socket, m -> AnswerTest.result(m, "x0=1,x1=1,inflight=0,util=0").readyForQuery());
                 } else {
                     queries.add(query);
                     Consumer<MessageBuilder> script = answerScript;
+                    delayedCopy = queries.size() - 1 == copiedAnswer ? script : delayedCopy;
                     byte[][] inPieces = pieces;
                     if (inPieces != null) {
                         sendPieces(socket, inPieces);
@@ -241,6 +249,24 @@
         }
     }
 
+    /** Returns the value of the single row that answers the query. */
+    private String askForValue(String query) throws IOException {
+        try (Socket client = client()) {
+            send(client, m -> {
+                startup(m);
+                query(m, query);
+            });
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            int type = in.read();
+            while (type != 'D') {
+                in.readNBytes(in.readInt() - 4);
+                type = in.read();
+            }
+            byte[] row = in.readNBytes(in.readInt() - 4);
+            return new String(row, 6, row.length - 6, StandardCharsets.UTF_8);
+        }
+    }
+
     @Test
     void startupAndQueryInOnePacketAreBothAnswered() throws IOException {
         assertEquals("hello TDCZ", ask(WRITE));
@@ -507,6 +533,33 @@
         assertEquals(1, queries.size());
     }
 
+    /**
+     * A second copy of an answer is still on its way when the connection is used again. Guards against taking it for the answer
+     * to the next request, which was then served another client's value, as was each one behind it.
+     */
+    @Test
+    void aLateCopyOfAnAnswerIsNotServedToTheNextRequest() throws Exception {
+        copiedAnswer = 0;
+        for (String value : List.of("first", "second", "third")) {
+            answerScript = m -> AnswerTest.result(m, value).readyForQuery();
+            assertEquals(value, askForValue(WRITE));
+        }
+        assertEquals(3, queries.size());
+    }
+
+    /** Guards against taking the late copy of a refusal for the next write's, which was then sent again although it had run. */
+    @Test
+    void aLateCopyOfARefusalDoesNotRepeatTheNextWrite() throws Exception {
+        copiedAnswer = 0;
+        answerScript = m -> {
+            answerScript = ok -> AnswerTest.result(ok, "v").readyForQuery();
+            m.error(false, SqlState.TOO_MANY_CONNECTIONS, "full", null).readyForQuery();
+        };
+        assertEquals("hello TDCZ", ask(WRITE.replace("id=9b", "id=9c")));
+        assertEquals("hello TDCZ", ask(WRITE.replace("id=9b", "id=9d")));
+        assertEquals(List.of("9c", "9c", "9d"), queries.stream().map(q -> q.replaceAll(".*id=(..).*", "$1")).toList());
+    }
+
     /** Guards against sending to a server that began to drain while the connection to it was being opened. */
     @Test
     void aDecisionIsCheckedAgainBeforeTheQueryIsWritten() throws IOException {
--- a/standins/src/main/java/holdmux/standins/PgQuoteServer.java
+++ b/standins/src/main/java/holdmux/standins/PgQuoteServer.java
@@ -75,6 +75,10 @@
             socket.getOutputStream().write(rowResponse(group.loadReport(member).getBytes(StandardCharsets.UTF_8), "SHOW").bytes());
             return;
         }
+        if (sql.equals("DISCARD ALL")) {
+            socket.getOutputStream().write(new MessageBuffer().put('C', m -> m.writeBytes(sql + "\0")).readyForQuery().bytes());
+            return;
+        }
         group.recordArrival(member, sql);
         Statement statement = Statement.parse(sql);
         Fault fault = group.nextFault(statement.id());
