PoolerTest: a client counts as returning only once the pooler has seen it idle

returningClientsAreKeptLongerWhenCrowded failed once in a run of the module's tests ("expected: <IZ> but was: <|>"). Traced: a client becomes idle behind its answer, when the worker finds nothing more to answer. The test's second query could come before that; then the client has not returned, and it is rightly the first to be closed when it is crowded.

The test now waits, before the second query, until the pooler counts the client as idle, and fails if it never does; what it asserts is unchanged.

--- a/pooler/src/main/java/holdmux/pg/ClientRegistry.java
+++ b/pooler/src/main/java/holdmux/pg/ClientRegistry.java
@@ -222,6 +222,11 @@
         return shutdownAt - clock.now();
     }
 
+    /** The number of sessions that have answered everything they were asked. */
+    synchronized int idle() {
+        return idleNew.size() + idleReturning.size();
+    }
+
     /** The number of open sessions. */
     synchronized int size() {
         return open.size();
--- a/pooler/src/main/java/holdmux/pg/PgFront.java
+++ b/pooler/src/main/java/holdmux/pg/PgFront.java
@@ -86,6 +86,11 @@
         listener.closeWhenIdle();
     }
 
+    /** The number of clients whose connections are idle. */
+    int idleClients() {
+        return clients.idle();
+    }
+
     @Override
     public int openClients() {
         return listener.openClients();
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -684,6 +684,7 @@
                 });
                 assertEquals("hello IZ", readTypes(client, 2));
                 if (i == 0) {
+                    awaitIdleClient();
                     send(client, m -> query(m, ""));
                     assertEquals("IZ", readTypes(client, 1));
                 }
@@ -734,6 +735,14 @@
         }
     }
 
+    /** Waits until the pooler counts a client as idle, which it does behind the answer. */
+    private void awaitIdleClient() {
+        for (int i = 0; i < 300 && front.idleClients() == 0; i++) {
+            sleep(10);
+        }
+        assertTrue(front.idleClients() > 0);
+    }
+
     /** Waits until the pooler has noticed that clients have closed their connections. */
     private void awaitOpenClients(int expected) {
         for (int i = 0; i < 300 && front.openClients() != expected; i++) {
