Queries: a wait for a buffer ends in 0.3 s, and long values leave ordinary queries a share

Cause: BufferPool.acquireForLongMessage, in which every query of over 4 KiB waited without limit behind long ones, before it was a request that a deadline, a shutdown or a close could end. Evidence: the new test, in which writers stop just before the end of their long values, failed on ("answered over 0.5 s after its time"); reads of under 4 KiB were all served.

Fix: QueryReader waits 0.3 s at most, then reads the query to its end, drops it and refuses it (53300; queries_without_buffer). QueryBuffers takes a message's first two buffers as its bytes come and has the rest reserved at once, which leaves ordinary queries a share and lets those with a reservation finish however slowly they come. The time for which a query may have lain unread is taken off its time and off what its server is told, and its client's close is looked for before it is sent. A pause counts from the last byte received.

BufferPoolTest's check that a waiting reader stops when its client is gone is replaced by stricter ones, that it stops in any case and that nothing is sent (QueryReaderTest); the one on deadlocks moves to QueryBuffersTest with longer messages.

Ruled out: workers used up (short reads went on), buffers of answers (their own, with a wait of 0.1 s).

--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -14,6 +14,12 @@
 final class ClientInput {
     /** Holds a typical read query (about 110 bytes) completely, so that reading it takes one system call. */
     private static final int READ_AHEAD_BYTES = 512;
+    /** A read that takes longer than this has waited for its bytes. */
+    private static final long BLOCKED_READ_NS = 20 * Clock.MS;
+    /** How long {@link #checkNotClosed} waits for an end of input that the system has received. */
+    private static final int END_CHECK_MS = 1;
+    /** Bytes skipped per read. */
+    private static final int SKIP_CHUNK_BYTES = 8_192;
     /** Bytes discarded per read and the pause after it: at 8 MiB/s, 1 MiB of unread input is gone within the linger time. */
     private static final int DISCARD_CHUNK_BYTES = 8_192, DISCARD_PAUSE_MS = 1;
 
@@ -24,12 +30,17 @@
     private int readPosition, readLimit;
     /** When the current message must be complete, and the longest allowed gap between its bytes. */
     private long deadline, maxPauseMs;
+    /** When bytes were last received. */
+    private long receivedAt;
+    /** How long nothing was read because of waits on this side, since everything that had come was last known to be read. */
+    private long unreadNs;
     private boolean timeoutSet;
 
     ClientInput(Socket socket, Clock clock) throws IOException {
         this.socket = socket;
         this.clock = clock;
         in = socket.getInputStream();
+        receivedAt = clock.now();
     }
 
     /** Waits without limit for the first byte of the next message. */
@@ -40,11 +51,13 @@
                 timeoutSet = false;
             }
             readPosition = 0;
+            long startNs = clock.now();
             readLimit = in.read(readAhead, 0, READ_AHEAD_BYTES);
             if (readLimit < 0) {
                 readPosition = readLimit = 0;
                 throw new EOFException("the client closed the connection");
             }
+            noteReceived(startNs, readLimit, READ_AHEAD_BYTES);
         }
         return readAhead[readPosition++] & 0xff;
     }
@@ -55,9 +68,47 @@
         this.maxPauseMs = maxPauseMs;
     }
 
-    /** Extends the total limit by time spent waiting on this side, such as for a buffer. */
-    void extendDeadline(long ns) {
-        deadline += ns;
+    /** Starts another limit on the total time of the current message. */
+    void setTotalTimeLimit(long totalMs) {
+        deadline = clock.now() + totalMs * Clock.MS;
+    }
+
+    /** Notes a read: one that waited, or that received less than there was room for, has left nothing unread. */
+    private void noteReceived(long startNs, int received, int room) {
+        receivedAt = clock.now();
+        if (received < room || receivedAt - startNs > BLOCKED_READ_NS) {
+            unreadNs = 0;
+        }
+    }
+
+    /** Notes that nothing was read for this time in nanoseconds because of a wait on this side, such as for a buffer. */
+    void noteWait(long ns) {
+        unreadNs += ns;
+    }
+
+    /** How long the last bytes received may have lain unread, in nanoseconds. */
+    long unreadNs() {
+        return unreadNs;
+    }
+
+    /** Checks without waiting for input whether the client has closed its side behind everything that was read. */
+    void checkNotClosed() throws IOException {
+        if (readPosition < readLimit) {
+            return;
+        }
+        readPosition = readLimit = 0;
+        socket.setSoTimeout(END_CHECK_MS);
+        timeoutSet = true;
+        try {
+            long startNs = clock.now();
+            int received = in.read(readAhead, 0, READ_AHEAD_BYTES);
+            if (!DeadlineInputStream.wasInterrupted(received)) {
+                readLimit = checkNotEnd(received);
+                noteReceived(startNs, received, READ_AHEAD_BYTES);
+            }
+        } catch (SocketTimeoutException e) {
+            // still connected
+        }
     }
 
     /** Reads exactly {@code length} bytes. */
@@ -87,9 +138,9 @@
     void skip(int length) throws IOException, ProtocolException {
         int remaining = length - Math.min(length, readLimit - readPosition);
         readPosition += length - remaining;
-        byte[] sink = new byte[READ_AHEAD_BYTES];
+        byte[] sink = new byte[Math.min(remaining, SKIP_CHUNK_BYTES)];
         while (remaining > 0) {
-            remaining -= readFromSocket(sink, 0, Math.min(remaining, READ_AHEAD_BYTES));
+            remaining -= readFromSocket(sink, 0, Math.min(remaining, sink.length));
         }
     }
 
@@ -116,10 +167,11 @@
     }
 
     private int readFromSocket(byte[] target, int offset, int length) throws IOException, ProtocolException {
-        long pauseDeadline = clock.now() + maxPauseMs * Clock.MS;
+        long pauseDeadline = receivedAt + maxPauseMs * Clock.MS;
         try {
             while (true) {
-                long remainingMs = (Math.min(deadline, pauseDeadline) - clock.now()) / Clock.MS + 1;
+                long startNs = clock.now();
+                long remainingMs = (Math.min(deadline, pauseDeadline) - startNs) / Clock.MS + 1;
                 if (remainingMs <= 0) {
                     break;
                 }
@@ -127,7 +179,9 @@
                 timeoutSet = true;
                 int received = in.read(target, offset, length);
                 if (!DeadlineInputStream.wasInterrupted(received)) {
-                    return checkNotEnd(received);
+                    checkNotEnd(received);
+                    noteReceived(startNs, received, length);
+                    return received;
                 }
             }
         } catch (SocketTimeoutException e) {
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -12,8 +12,8 @@
 import holdmux.core.Responder;
 import holdmux.core.ScalarResult;
 import holdmux.core.UpdateResult;
-import holdmux.statement.BufferPool;
 import holdmux.statement.ChunkedText;
+import holdmux.statement.QueryBuffers;
 import holdmux.statement.SqlState;
 import holdmux.statement.Statement;
 import holdmux.statement.StatementException;
@@ -21,7 +21,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -37,15 +36,21 @@
  */
 final class ClientSession implements Runnable {
     /** Dependencies shared by all sessions. */
-    record Context(Balancer balancer, Admission admission, BufferPool buffers,
+    record Context(Balancer balancer, Admission admission, QueryBuffers buffers,
             Clock clock, Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
             ClientRegistry clients) {}
 
     /**
      * A command waiting for its answer: a query, held in pooled buffers if it is long, or the error in the input. With both
      * null it is the client's Terminate message.
+     *
+     * @param delayNs how long the query may have lain unread, in nanoseconds
      */
-    private record Command(ChunkedText query, ProtocolException error) {
+    private record Command(ChunkedText query, ProtocolException error, long delayNs) {
+        Command(ProtocolException error) {
+            this(null, error, 0);
+        }
+
         int length() {
             return query == null ? 0 : query.length;
         }
@@ -56,16 +61,11 @@
     private static final int CANCEL_LENGTH = 4 * Integer.BYTES;
     /** Longest startup packet, as in PostgreSQL. */
     private static final int MAX_STARTUP_BYTES = 10_000;
-    /** Longer queries use pooled buffers; a typical one, with 1 KiB of data in hexadecimal, is shorter. */
-    private static final int SHORT_QUERY_BYTES = 4_096;
     /** Only one in this many bad inputs is logged. */
     private static final int BAD_INPUTS_PER_LOG_LINE = 100;
     /** Time-out for the head of a message and for a pause within one. Clients may pause for up to 2 s, and a stalled message
      * has to be ended within 3 s. */
     private static final int MAX_PAUSE_MS = 2_600;
-    /** Total time-out of a message, plus its length at the minimum rate; without it, a client that sends slowly would hold buffers
-     * indefinitely. */
-    private static final int MESSAGE_TIMEOUT_MS = 10_000, MIN_BYTES_PER_MS = 16;
     /** Limits on the commands and bytes queued on one connection behind the command being answered. Pipelining drivers send a
      * few commands; the limits of all clients add up to a few MiB. Commands above the limits are refused in order, up to
      * {@code MAX_PENDING_REFUSALS} of them. */
@@ -74,10 +74,15 @@
     private static final long LINGER_NS = 150 * Clock.MS;
     private static final ProtocolException TOO_MANY_COMMANDS =
             ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
+    private static final ProtocolException NO_BUFFER =
+            ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "no memory for a query of this length at present");
+    private static final ProtocolException READ_TOO_LATE =
+            ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "the query was read after its time");
     private final Socket socket;
     private final Context context;
     private final Counters counters;
     private final ClientInput in;
+    private final QueryReader queries;
     private final ClientOutput out;
     // The fields from here on are guarded by this object's monitor.
 
@@ -97,6 +102,7 @@
         this.context = context;
         counters = context.counters();
         in = new ClientInput(socket, context.clock());
+        queries = new QueryReader(in, context.buffers(), context.clock());
         out = new ClientOutput(socket.getOutputStream(), context.deadlines(), this::close);
     }
 
@@ -112,7 +118,7 @@
             }
             discardInput();
         } catch (ProtocolException e) {
-            enqueue(new Command(null, e), true);
+            enqueue(new Command(e), true);
             discardInput();
         } catch (IOException e) {
             abort(); // disconnected by either side
@@ -198,15 +204,14 @@
         switch (type) {
             case 'Q' -> {
                 if (canQueue()) {
-                    enqueue(readQuery(length), false);
+                    enqueueQuery(queries.read(length));
                 } else {
-                    in.setTimeLimits(MESSAGE_TIMEOUT_MS + length / MIN_BYTES_PER_MS, MAX_PAUSE_MS);
-                    in.skip(length);
+                    queries.skip(length);
                     enqueueRefusal();
                 }
             }
             case 'X' -> {
-                enqueue(new Command(null, null), true);
+                enqueue(new Command(null), true);
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
@@ -234,34 +239,12 @@
         scheduleAnswering();
     }
 
-    /** Reads the body of a query; a long one into pooled buffers, each acquired when its first bytes are expected. */
-    private Command readQuery(int length) throws IOException, ProtocolException {
-        in.setTimeLimits(MESSAGE_TIMEOUT_MS + length / MIN_BYTES_PER_MS, MAX_PAUSE_MS);
-        if (length <= SHORT_QUERY_BYTES) {
-            byte[] body = new byte[length];
-            in.readFully(body, length);
-            return new Command(ChunkedText.of(body, length), null);
-        }
-        List<byte[]> parts = new ArrayList<>();
-        ChunkedText text = new ChunkedText(parts, length, true);
-        boolean complete = false;
-        try {
-            for (int received = 0; received < length;) {
-                if (received == parts.size() * BufferPool.BUFFER_SIZE) {
-                    long waitStart = context.clock().now();
-                    parts.add(context.buffers().acquireForLongMessage(this, socket::isClosed));
-                    in.extendDeadline(context.clock().now() - waitStart);
-                }
-                int offset = received % BufferPool.BUFFER_SIZE;
-                received += in.readSome(parts.get(parts.size() - 1), offset, Math.min(length - received, BufferPool.BUFFER_SIZE - offset));
-            }
-            complete = true;
-            return new Command(text, null);
-        } finally {
-            context.buffers().releaseReserve(this);
-            if (!complete) {
-                text.release(context.buffers());
-            }
+    private void enqueueQuery(QueryReader.Query query) {
+        if (query.text() == null) {
+            counters.count(Counter.QUERIES_WITHOUT_BUFFER);
+            enqueue(new Command(NO_BUFFER), false);
+        } else {
+            enqueue(new Command(query.text(), null, query.delayNs()), false);
         }
     }
 
@@ -349,7 +332,7 @@
             queuedBytes -= command.length();
         } else if (pendingRefusals > 0) {
             pendingRefusals--;
-            command = new Command(null, TOO_MANY_COMMANDS);
+            command = new Command(TOO_MANY_COMMANDS);
         } else {
             command = finalCommand;
             finalCommand = null;
@@ -415,7 +398,11 @@
                 out.writeError(SqlState.CANNOT_CONNECT_NOW, refusal.reason(), refusal.retryAfterNs());
                 return;
             }
-            Request.Spec spec = context.admission().admit(statement, context.clients().timeLeftNs());
+            long remainingNs = Admission.remainingWaitNs(statement) - command.delayNs();
+            if (remainingNs <= 0) {
+                throw READ_TOO_LATE;
+            }
+            Request.Spec spec = context.admission().admit(statement, Math.min(remainingNs, context.clients().timeLeftNs()));
             context.clients().markBusy(this);
             long timeLeftNs = context.clients().timeLeftNs();
             if (timeLeftNs <= 0 || timeLeftNs < Admission.remainingWaitNs(statement) && statement.write) {
--- a/pooler/src/main/java/holdmux/pg/PgFront.java
+++ b/pooler/src/main/java/holdmux/pg/PgFront.java
@@ -7,7 +7,7 @@
 import holdmux.core.Log;
 import holdmux.core.Services;
 import holdmux.core.Workers;
-import holdmux.statement.BufferPool;
+import holdmux.statement.QueryBuffers;
 import holdmux.statement.Statement;
 import holdmux.statement.StatementException;
 import java.io.IOException;
@@ -30,7 +30,7 @@
         deployment = config.deployment();
         clients = new ClientRegistry(caps.clients(), services.otherProcess(), services.clock(), services.deadlines());
         listener = new Listener(config.listen(), new ClientSession.Context(services.balancer(), services.admission(),
-                new BufferPool(caps.queryBytes(), Statement.MAX_BYTES, services.otherProcess()::present), services.clock(),
+                new QueryBuffers(caps.queryBytes(), Statement.MAX_BYTES, services.otherProcess()::present), services.clock(),
                 services.deadlines(), services.counters(), services.workers(), ready, clients),
                 new Workers(caps.clients() + CLOSING_CLIENT_THREADS));
     }
--- a/pooler/src/main/java/holdmux/pg/PgUpstream.java
+++ b/pooler/src/main/java/holdmux/pg/PgUpstream.java
@@ -33,7 +33,7 @@
             Supplier<Deployment> deployment, OtherProcess otherProcess, ServerSlots slots) {
         // a buffer pool separate from the clients', so that slow clients cannot starve the server side
         servers = new ServerPool(registry, clock, deadlines, counters,
-                new BufferPool(caps.answerBytes(), BufferPool.BUFFER_SIZE, otherProcess::present), deployment, slots);
+                new BufferPool(caps.answerBytes(), otherProcess::present), deployment, slots);
     }
 
     @Override
--- a/pooler/src/main/java/holdmux/statement/ChunkedText.java
+++ b/pooler/src/main/java/holdmux/statement/ChunkedText.java
@@ -111,10 +111,10 @@
         return !decoder.decode(window.flip(), discarded.clear(), true).isError();
     }
 
-    /** Returns the pooled buffers that store this text. */
-    public void release(BufferPool buffers) {
+    /** Returns the pooled buffers that store this text, or the part of it that was read. */
+    public void release(QueryBuffers buffers) {
         if (pooled) {
-            parts.forEach(buffers::release);
+            buffers.release(parts, length);
         }
     }
 }
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -313,6 +313,70 @@
         }
     }
 
+    /** Writes a Query message with a value of 4 MiB, but for its last byte. */
+    private static void writeAllButTheEnd(Socket client) {
+        byte[] text = WRITE.replace("\\x9f", "\\x" + "9f0a".repeat(2 * MIB)).getBytes(StandardCharsets.UTF_8);
+        try {
+            client.getOutputStream().write(ByteBuffer.allocate(5).put((byte) 'Q').putInt(text.length + 5).array());
+            client.getOutputStream().write(text);
+        } catch (IOException e) {
+            // the test has ended
+        }
+    }
+
+    /**
+     * Clients that have begun long queries do not go on. Guards against ordinary queries that wait without limit for a buffer
+     * behind them: they were not answered within their time, or were sent after their clients had gone.
+     */
+    @Test
+    void unfinishedLongQueriesDoNotHoldUpOrdinaryOnes() throws Exception {
+        List<Socket> writers = new ArrayList<>();
+        CountDownLatch written = new CountDownLatch(2); // as many as the buffers hold
+        try {
+            for (int i = 0; i < 4; i++) {
+                Socket writer = client();
+                writers.add(writer);
+                send(writer, PoolerTest::startup);
+                Workers.newThread("writer", () -> {
+                    writeAllButTheEnd(writer);
+                    written.countDown();
+                }).start();
+            }
+            written.await();
+            String ordinary = WRITE.replace("\\x9f", "\\x" + "9f".repeat(8 * 1024)).replace("d=3000", "d=1000");
+            for (int i = 0; i < 5; i++) {
+                long start = System.nanoTime();
+                assertEquals("hello TDCZ", ask(ordinary));
+                assertTrue(System.nanoTime() - start < 1_500 * Clock.MS, "answered over 0.5 s after its time");
+            }
+        } finally {
+            for (Socket writer : writers) {
+                writer.close();
+            }
+        }
+    }
+
+    /** A long query for which there is no memory is refused behind its last byte, and its connection goes on. */
+    @Test
+    void aLongQueryWithoutMemoryIsRefused() throws Exception {
+        try (Socket first = client(); Socket second = client(); Socket third = client()) {
+            for (Socket client : List.of(first, second, third)) {
+                send(client, PoolerTest::startup);
+                assertEquals("hello ", readTypes(client, 1));
+                writeAllButTheEnd(client);
+            }
+            third.getOutputStream().write(0);
+            assertEquals("E53300Z", readTypes(third, 1));
+            send(third, m -> query(m, WRITE));
+            assertEquals("TDCZ", readTypes(third, 1));
+            for (Socket client : List.of(first, second)) {
+                client.getOutputStream().write(0);
+                assertEquals("TDCZ", readTypes(client, 1));
+            }
+        }
+        assertEquals(1, counters.get(Counter.QUERIES_WITHOUT_BUFFER));
+    }
+
     /** Guards against cutting off a client that sends slowly but steadily: a message times out by a long pause, not by its duration. */
     @Test
     void aSlowWriterIsServed() throws Exception {
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -32,7 +32,7 @@
             InetSocketAddress address = new InetSocketAddress(loopback, silent.getLocalPort());
             fillQueue(address, queued);
             ServerConnection connection = new ServerConnection(1, address,
-                    new BufferPool(4 * BufferPool.BUFFER_SIZE, BufferPool.BUFFER_SIZE, () -> false));
+                    new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false));
             try (connection) {
                 // without another thread or a deadline, only the time-out passed to connect can end it
                 assertTimeoutPreemptively(Duration.ofSeconds(20),
@@ -59,7 +59,7 @@
         try (ServerSocket server = new ServerSocket(0, 1, loopback);
                 ServerConnection connection = new ServerConnection(1,
                         new InetSocketAddress(loopback, server.getLocalPort()),
-                        new BufferPool(4 * BufferPool.BUFFER_SIZE, BufferPool.BUFFER_SIZE, () -> false))) {
+                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false))) {
             connection.connect(5_000 * Clock.MS);
             try (Socket socket = server.accept()) {
                 socket.getOutputStream().write(notices);
--- a/pooler/src/test/java/holdmux/statement/BufferPoolTest.java
+++ b/pooler/src/test/java/holdmux/statement/BufferPoolTest.java
@@ -2,10 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import holdmux.core.Workers;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
@@ -13,8 +10,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -23,45 +18,16 @@
 
 @Timeout(20)
 class BufferPoolTest {
-    /** Guards against a deadlock between long messages that are all partly read when the budget is exhausted. */
-    @Test
-    void partlyReadMessagesDoNotDeadlock() throws Exception {
-        BufferPool buffers = new BufferPool(16 * BufferPool.BUFFER_SIZE, 8 * BufferPool.BUFFER_SIZE, () -> false);
-        CountDownLatch completed = new CountDownLatch(6);
-        CountDownLatch halfway = new CountDownLatch(1);
-        for (int i = 0; i < 6; i++) {
-            Object reader = new Object();
-            Workers.newThread("reader", () -> {
-                try {
-                    List<byte[]> parts = new ArrayList<>();
-                    parts.add(buffers.acquireForLongMessage(reader, () -> false));
-                    halfway.await();
-                    while (parts.size() < 8) {
-                        parts.add(buffers.acquireForLongMessage(reader, () -> false));
-                    }
-                    buffers.releaseReserve(reader);
-                    parts.forEach(buffers::release);
-                    completed.countDown();
-                } catch (IOException | InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
-            }).start();
-        }
-        halfway.countDown();
-        assertTrue(completed.await(10, TimeUnit.SECONDS));
-    }
-
-    /** The budget is enforced, halved while another process shares it, and a reader whose client is gone stops waiting. */
+    /** The budget is enforced, and halved while another process shares it. */
     @Test
     void enforcesTheBudget() throws Exception {
         boolean[] halved = {false};
-        BufferPool buffers = new BufferPool(10 * BufferPool.BUFFER_SIZE, BufferPool.BUFFER_SIZE, () -> halved[0]);
+        BufferPool buffers = new BufferPool(10 * BufferPool.BUFFER_SIZE, () -> halved[0]);
         List<byte[]> taken = new ArrayList<>();
         for (int i = 0; i < 10; i++) {
             taken.add(buffers.acquire());
         }
         assertThrows(BufferPool.ExhaustedException.class, buffers::acquire);
-        assertThrows(IOException.class, () -> buffers.acquireForLongMessage(this, () -> true));
         halved[0] = true;
         taken.subList(0, 4).forEach(buffers::release);
         assertThrows(BufferPool.ExhaustedException.class, buffers::acquire);
