Server connections: a close behind the sync response is seen before reuse

Cause: since ServerConnection.readiness reads the sync response, which came long before the close, in its one read, and called the connection ready. It now reads once more behind a complete response. ServerConnectionTest's new test failed before ("expected: <BROKEN> but was: <READY>").

--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -223,7 +223,10 @@
     public Readiness readiness() {
         try {
             channel.configureBlocking(false);
-            Readiness readiness = pendingSync == null ? checkSilence() : receiveSyncResponse();
+            Readiness readiness = pendingSync == null ? Readiness.READY : receiveSyncResponse();
+            if (readiness == Readiness.READY) {
+                readiness = checkSilence(); // the server may have closed the connection behind the response
+            }
             channel.configureBlocking(true);
             return readiness;
         } catch (IOException e) {
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -1,10 +1,14 @@
 package holdmux.pg;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
+import holdmux.core.IdleConnections.Readiness;
 import holdmux.core.ServerStatus;
 import holdmux.statement.BufferPool;
 import java.io.IOException;
@@ -13,6 +17,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,6 +74,26 @@
         }
     }
 
+    /** Guards against writing a request to a connection that its server has closed, unseen behind the last response. */
+    @Test
+    void aConnectionClosedBehindItsSyncResponseIsNotReady() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket server = new ServerSocket(0, 1, loopback);
+                ServerConnection connection = new ServerConnection(1, new InetSocketAddress(loopback, server.getLocalPort()),
+                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false))) {
+            connection.connect(5_000 * Clock.MS);
+            assertTrue(connection.send(List.of(ByteBuffer.wrap(new byte[] {'Q'})), () -> true));
+            assertTrue(connection.synchronize());
+            assertFalse(connection.isSynchronized());
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().readNBytes(1 + SyncQuery.message().remaining());
+                MessageBuilder response = new MessageBuilder(new byte[64]).begin('C').put(SyncQuery.COMMAND).end().readyForQuery();
+                response.writeTo(socket.getOutputStream());
+            }
+            assertEquals(Readiness.BROKEN, connection.readiness());
+        }
+    }
+
     /** Opens connections until one times out: the accept queue is full then, and further handshakes are dropped. */
     private static void fillQueue(InetSocketAddress address, List<Socket> queued) throws IOException {
         for (int i = 0; i < 64; i++) {
