SyncQuery: a full buffer ends the wait for a response; its buffer comes with the first read

Found on reading the change again. A response of many small messages could fill the buffer to less than a header; parse still said PENDING, and a thread in ServerConnection.awaitSynchronized read 0 bytes again and again until its connect time-out closed the connection. SyncQueryTest.anEndlessResponseIsUnexpectedOnceTheBufferIsFull guards against it.

--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -137,7 +137,7 @@
         }
     }
 
-    /** Returns an idle connection on which the last exchange has ended, or null; waits for that end for as long as for a connect. */
+    /** Returns an idle connection whose last exchange has ended, or null; waits for that end as long as for a connect. */
     private ServerConnection takeIdle(Attempt attempt) {
         ServerConnection connection = idle.take(attempt.serverId);
         while (connection != null && !connection.isSynchronized()) {
@@ -145,7 +145,8 @@
             if (readiness == Readiness.READY) {
                 return connection;
             }
-            idle.discardUnusable(connection, readiness == Readiness.SURPLUS ? Counter.SERVER_SURPLUS_CLOSES : Counter.SERVER_STALE_CLOSES);
+            boolean surplus = readiness == Readiness.SURPLUS;
+            idle.discardUnusable(connection, surplus ? Counter.SERVER_SURPLUS_CLOSES : Counter.SERVER_STALE_CLOSES);
             connection = idle.take(attempt.serverId);
         }
         return connection;
--- a/pooler/src/main/java/holdmux/pg/SyncQuery.java
+++ b/pooler/src/main/java/holdmux/pg/SyncQuery.java
@@ -1,8 +1,6 @@
 package holdmux.pg;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 
 /**
  * A query without effect that is written behind each answer, and the parser of its response. A server answers the queries of
@@ -24,25 +22,29 @@
     /** Room for CommandComplete, ReadyForQuery and the ParameterStatus messages that a server sends with each answer. */
     private static final int MAX_RESPONSE_BYTES = 1_024;
 
-    private final ByteBuffer received = ByteBuffer.allocate(MAX_RESPONSE_BYTES);
+    private static final ByteBuffer MESSAGE = new MessageBuilder(new byte[64]).begin('Q').put(COMMAND).end().bytes();
+
+    /** Allocated with the first read, so that an idle connection holds none. */
+    private ByteBuffer received;
     private int parsedBytes;
     private boolean hasCommandComplete, hasReadyForQuery;
 
-    /** Returns a new Query message with the command. */
+    /** Returns the Query message with the command, ready to be written. */
     static ByteBuffer message() {
-        List<ByteBuffer> parts = PgUpstream.queryMessage(List.of(ByteBuffer.wrap(COMMAND.getBytes(StandardCharsets.US_ASCII))));
-        ByteBuffer message = ByteBuffer.allocate(parts.stream().mapToInt(ByteBuffer::remaining).sum());
-        parts.forEach(message::put);
-        return message.flip();
+        return MESSAGE.duplicate();
     }
 
     /** The buffer that received bytes are to be appended to, followed by {@link #parse}. */
     ByteBuffer received() {
+        if (received == null) {
+            received = ByteBuffer.allocate(MAX_RESPONSE_BYTES);
+        }
         return received;
     }
 
     /** Parses what was received so far. */
     Progress parse() {
+        ByteBuffer received = received();
         while (received.position() - parsedBytes >= MessageBuilder.HEADER_BYTES) {
             int size = received.getInt(parsedBytes + 1);
             if (size < Integer.BYTES || size > received.capacity() - parsedBytes - 1 || !accept((char) received.get(parsedBytes))) {
@@ -56,7 +58,7 @@
                 return parsedBytes == received.position() ? Progress.COMPLETE : Progress.UNEXPECTED;
             }
         }
-        return Progress.PENDING;
+        return received.hasRemaining() ? Progress.PENDING : Progress.UNEXPECTED;
     }
 
     /** Notes a message of this type; false if it cannot be part of the response. */
--- a/pooler/src/test/java/holdmux/pg/AnswerTest.java
+++ b/pooler/src/test/java/holdmux/pg/AnswerTest.java
@@ -30,7 +30,7 @@
     private static final ServerStatus.ReportFormat REPORT_FORMAT =
             new ServerStatus.ReportFormat(List.of("x0", "x1", "outstanding", "utilization"), ZERO_S * 1_000 * MS);
 
-    private static byte[] bytes(Consumer<MessageBuilder> composer) {
+    static byte[] bytes(Consumer<MessageBuilder> composer) {
         MessageBuilder message = new MessageBuilder(new byte[1_024]);
         composer.accept(message);
         byte[] bytes = new byte[message.bytes().remaining()];
--- a/pooler/src/test/java/holdmux/pg/SyncQueryTest.java
+++ b/pooler/src/test/java/holdmux/pg/SyncQueryTest.java
@@ -1,5 +1,6 @@
 package holdmux.pg;
 
+import static holdmux.pg.AnswerTest.bytes;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import holdmux.pg.SyncQuery.Progress;
@@ -10,14 +11,6 @@
     private static final Consumer<MessageBuilder> RESPONSE = m -> m.begin('C').put(SyncQuery.COMMAND).end()
             .parameterStatus("replication_role", "standby").readyForQuery();
 
-    private static byte[] bytes(Consumer<MessageBuilder> composer) {
-        MessageBuilder message = new MessageBuilder(new byte[1_024]);
-        composer.accept(message);
-        byte[] bytes = new byte[message.bytes().remaining()];
-        message.bytes().get(bytes);
-        return bytes;
-    }
-
     private static Progress progress(byte[] bytes) {
         SyncQuery sync = new SyncQuery();
         sync.received().put(bytes);
@@ -35,6 +28,18 @@
         assertEquals(Progress.COMPLETE, sync.parse());
     }
 
+    /** Guards against reading into a full buffer, which returns 0 bytes each time, so that the thread that waits spins. */
+    @Test
+    void anEndlessResponseIsUnexpectedOnceTheBufferIsFull() {
+        SyncQuery sync = new SyncQuery();
+        while (sync.received().remaining() >= 7) {
+            sync.received().put(new byte[] {'N', 0, 0, 0, 6, 0, 0});
+            sync.parse();
+        }
+        sync.received().put(new byte[sync.received().remaining()]);
+        assertEquals(Progress.UNEXPECTED, sync.parse());
+    }
+
     /** Guards against reusing a connection on which more than the response was received, before it or behind it. */
     @Test
     void anythingBesidesTheResponseIsUnexpected() {
