Soak: name with each late event how late the driver itself was

Nothing told a pooler that sends late from a machine without CPU time. A thread of the driver, whose process also runs the stand-ins and relays, now measures how late it runs, and the violations drain, client gone, deadline and late name the longest delay while the request was on its way. No check or bound changes: SoakAuditTest.delayOfTheDriverIsNamedAndExcusesNothing.

--- /dev/null
+++ b/app/src/main/java/holdmux/app/soak/DriverDelays.java
@@ -0,0 +1,26 @@
+package holdmux.app.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The times at which the driver, whose process also runs the servers, was itself late because the machine had no CPU time for it. They
+ * are named with a violation and excuse none. Reads no clock: all times are {@link System#nanoTime} values of the driver.
+ */
+final class DriverDelays {
+    /** A thread that was due at {@code dueAt} ran at {@code ranAt}. */
+    private record Delay(long dueAt, long ranAt) {}
+
+    private final List<Delay> delays = new ArrayList<>();
+
+    /** Records that a thread that was due at one time ran at the other. */
+    synchronized void add(long dueAt, long ranAt) {
+        delays.add(new Delay(dueAt, ranAt));
+    }
+
+    /** Returns the longest delay, in ns, that overlaps the period; 0 if there is none. */
+    synchronized long longestBetween(long from, long until) {
+        return delays.stream().filter(delay -> delay.dueAt() <= until && delay.ranAt() >= from)
+                .mapToLong(delay -> delay.ranAt() - delay.dueAt()).max().orElse(0);
+    }
+}
--- a/app/src/main/java/holdmux/app/soak/FaultSoak.java
+++ b/app/src/main/java/holdmux/app/soak/FaultSoak.java
@@ -48,6 +48,7 @@
     /** A server drains or is removed for at least this long: delivery, the grace period, and some seconds in which it is enforced. */
     private static final long MIN_OUT_OF_SERVICE_MS = 6_000;
     private static final long NANOS_PER_MS = 1_000_000L;
+    private static final long DELAY_CHECK_INTERVAL_MS = 10;
 
     private final PrintStream out;
     private final Path folder = Files.createTempDirectory("holdmux-soak");
@@ -76,6 +77,7 @@
      * @return a description of each violation
      */
     public List<String> run(int poolerCount, int seconds, long seed, boolean shim) throws Exception {
+        threads.submit(this::recordDriverDelays);
         startDeployment(poolerCount, seed, shim ? compileShim() : null);
         SplittableRandom random = new SplittableRandom(seed);
         List<Future<?>> clients = new ArrayList<>();
@@ -105,6 +107,16 @@
         return violations;
     }
 
+    /** Measures until the end how late a thread of this process runs after each pause. */
+    private Void recordDriverDelays() throws InterruptedException {
+        while (!finished.get()) {
+            long dueAt = System.nanoTime() + DELAY_CHECK_INTERVAL_MS * NANOS_PER_MS;
+            Thread.sleep(DELAY_CHECK_INTERVAL_MS);
+            audit.driverDelays().add(dueAt, System.nanoTime());
+        }
+        return null;
+    }
+
     private QuoteGroup group() {
         return standIns.group();
     }
--- a/app/src/main/java/holdmux/app/soak/SoakAudit.java
+++ b/app/src/main/java/holdmux/app/soak/SoakAudit.java
@@ -34,6 +34,7 @@
 
     private final List<OutOfService> outOfService = new ArrayList<>();
     private final DeliveryTimes deliveryTimes = new DeliveryTimes();
+    private final DriverDelays driverDelays = new DriverDelays();
     private final List<Asked> requests = Collections.synchronizedList(new ArrayList<>());
     private final List<String> reported = Collections.synchronizedList(new ArrayList<>());
 
@@ -47,6 +48,11 @@
         return deliveryTimes;
     }
 
+    /** Returns the record of times at which the driver itself was late. */
+    DriverDelays driverDelays() {
+        return driverDelays;
+    }
+
     /** Records a finished request. */
     void recordRequest(Asked request) {
         requests.add(request);
@@ -82,18 +88,25 @@
             boolean pastGrace = arrival.atNs() > deliveredAt + DRAIN_GRACE_NS + IN_FLIGHT_NS;
             if (period.server().equals(arrival.server()) && pastGrace && arrival.atNs() < period.until()) {
                 violations.add("drain: " + arrival + ", stopped " + (arrival.atNs() - period.from()) / NANOS_PER_MS + " ms ago, told "
-                        + (arrival.atNs() - deliveredAt) / NANOS_PER_MS + " ms ago");
+                        + (arrival.atNs() - deliveredAt) / NANOS_PER_MS + " ms ago" + driverDelay(request, arrival.atNs()));
             }
         }
         if (request.leftAt() > 0 && arrival.atNs() > request.leftAt() + CLIENT_GONE_SLACK_NS + IN_FLIGHT_NS) {
-            violations.add("client gone: " + arrival + ", " + (arrival.atNs() - request.leftAt()) / NANOS_PER_MS + " ms ago");
+            violations.add("client gone: " + arrival + ", " + (arrival.atNs() - request.leftAt()) / NANOS_PER_MS + " ms ago"
+                    + driverDelay(request, arrival.atNs()));
         }
         long remainingNs = request.waitNs() - (arrival.atNs() - request.sentAt());
         if (arrival.waitMs() * NANOS_PER_MS > remainingNs + DEADLINE_SLACK_NS + IN_FLIGHT_NS) {
-            violations.add("deadline: " + arrival + " with " + remainingNs / NANOS_PER_MS + " ms left");
+            violations.add("deadline: " + arrival + " with " + remainingNs / NANOS_PER_MS + " ms left"
+                    + driverDelay(request, arrival.atNs()));
         }
     }
 
+    /** Describes by how much the driver was late between the send of a request and another time. */
+    private String driverDelay(Asked request, long until) {
+        return ", driver up to " + driverDelays.longestBetween(request.sentAt(), until) / NANOS_PER_MS + " ms late";
+    }
+
     private void checkRequest(Asked request, Map<String, Integer> runs, List<String> violations) {
         if (request.onceOnly() && runs.getOrDefault(request.id(), 0) > 1) {
             violations.add("duplicate: " + request + " ran " + runs.get(request.id()) + " times");
@@ -105,7 +118,7 @@
             violations.add("lost: " + request);
         } else if (request.answeredAt() > request.sentAt() + request.waitNs() + ANSWER_SLACK_NS) {
             violations.add("late: " + request + " by " + (request.answeredAt() - request.sentAt() - request.waitNs()) / NANOS_PER_MS
-                    + " ms");
+                    + " ms" + driverDelay(request, request.answeredAt()));
         }
     }
 }
--- a/app/src/test/java/holdmux/app/soak/SoakAuditTest.java
+++ b/app/src/test/java/holdmux/app/soak/SoakAuditTest.java
@@ -43,6 +43,17 @@
         assertViolation("client gone", new SoakAuditTest().verdict(asked(1, 0, 50), 600, 300, 1));
     }
 
+    /** Names the longest delay of the driver while the request was on its way, and reports the violation all the same. */
+    @Test
+    void delayOfTheDriverIsNamedAndExcusesNothing() {
+        audit.driverDelays().add(100 * MS, 340 * MS);
+        audit.driverDelays().add(400 * MS, 430 * MS);
+        audit.driverDelays().add(710 * MS, 1_210 * MS);
+        List<String> verdict = verdict(asked(1, 900, 0), 700, 990, 1);
+        assertViolation("deadline", verdict);
+        assertTrue(verdict.get(0).endsWith("driver up to 240 ms late"), verdict.toString());
+    }
+
     /** A drain is enforced from 2 s after its delivery until the server is up again. */
     @Test
     void sendAfterDrainGraceIsReported() {
