--- a/app/src/test/java/holdmux/app/soak/SoakAuditTest.java
+++ b/app/src/test/java/holdmux/app/soak/SoakAuditTest.java
@@ -54,6 +54,15 @@
         assertTrue(verdict.get(0).endsWith("driver up to 240 ms late"), verdict.toString());
     }
 
+    @Test
+    void shortDelaysOfTheDriverAreNotRecorded() {
+        DriverDelays delays = new DriverDelays();
+        delays.add(100 * MS, 100 * MS + DriverDelays.MIN_DELAY_NS - 1);
+        assertEquals(0, delays.longestBetween(0, 1_000 * MS));
+        delays.add(200 * MS, 200 * MS + DriverDelays.MIN_DELAY_NS);
+        assertEquals(DriverDelays.MIN_DELAY_NS, delays.longestBetween(0, 1_000 * MS));
+    }
+
     /** A drain is enforced from 2 s after its delivery until the server is up again. */
     @Test
     void sendAfterDrainGraceIsReported() {
