Request ids: a second request with the id of an open or lately ended one is refused

Ids were never compared.

Change: RequestIds keeps the ids of open requests, and of ended ones that may have run, for 10 s, or 30 s where the class may not be repeated. An id is claimed as the request is read, ahead of its turn on its connection and for every front; what certainly never ran gives its id back. A copy gets 22023, reaches no server and counts in ids_reused. At most 8,192 ended ids of each kind are kept: the oldest repeatable ones are dropped, and a new write is refused with 53300 where writes alone fill it.

In an upgrade the older process decides: the newer one asks it for each id and waits 100 ms at most; without a verdict a read goes on and a write is refused. The older one tells the ids it uses, so that they stay known once it has ended. The unused int of the link's frames is a version now, so a release that does not know these frames is sent none.

ClientSession.Command has become ClientCommand and CommandParser.

PoolerTest used one id for all its requests, which no client does; its query() gives each a fresh one.

--- a/flight/src/main/java/holdmux/flight/FlightService.java
+++ b/flight/src/main/java/holdmux/flight/FlightService.java
@@ -7,10 +7,12 @@
 import com.google.protobuf.Timestamp;
 import holdmux.core.Admission;
 import holdmux.core.Counters.Counter;
+import holdmux.core.IdClaims;
 import holdmux.core.Log;
 import holdmux.core.Request;
 import holdmux.core.Responder;
 import holdmux.core.Services;
+import holdmux.decision.SplitterApi.Effect;
 import holdmux.statement.ChunkedText;
 import holdmux.statement.SqlState;
 import holdmux.statement.Statement;
@@ -372,11 +374,16 @@
     private void process(Statement statement, Responder responder, CallCancellation cancellation, Request.Spec requestSpec,
             StreamObserver<?> out) {
         try {
-            Request request = services.balancer().openRequest(requestSpec);
+            Effect effect = services.admission().requestClass(statement.className).effect();
+            IdClaims.Claim claim = services.balancer().ids().claim(statement, effect);
+            Request request = services.balancer().openRequest(requestSpec, claim);
             if (!cancellation.begin(request)) {
                 services.balancer().clientLeft(request);
             }
             services.balancer().execute(request, statement, responder);
+        } catch (StatementException e) {
+            services.counters().count(Counter.BAD_INPUT);
+            out.onError(Statuses.badInput(e));
         } catch (RuntimeException e) {
             services.counters().count(Counter.INTERNAL_ERRORS);
             Log.error("an answer failed here", e);
--- a/flight/src/main/java/holdmux/flight/Statuses.java
+++ b/flight/src/main/java/holdmux/flight/Statuses.java
@@ -6,6 +6,7 @@
 import com.google.rpc.ErrorInfo;
 import com.google.rpc.RetryInfo;
 import holdmux.core.Clock;
+import holdmux.statement.SqlState;
 import holdmux.statement.StatementException;
 import io.grpc.StatusRuntimeException;
 import io.grpc.protobuf.StatusProto;
@@ -40,8 +41,11 @@
         return status(Code.UNKNOWN, "FAILED", message, -1);
     }
 
-    /** Invalid input: the request reached no server, and a retry would fail again. */
+    /** Invalid input: the request reached no server, and a retry would fail again, except for lack of room. */
     static StatusRuntimeException badInput(StatementException e) {
+        if (e.sqlState.equals(SqlState.TOO_MANY_CONNECTIONS)) {
+            return refused(e.getMessage(), 0);
+        }
         return status(Code.INVALID_ARGUMENT, e.sqlState, e.getMessage(), -1);
     }
 
--- a/flight/src/test/java/holdmux/flight/FlightFrontTest.java
+++ b/flight/src/test/java/holdmux/flight/FlightFrontTest.java
@@ -55,6 +55,29 @@
         return "SELECT data FROM facts WHERE code = '" + key + "' /* id=" + id + ",c=history,d=1500,cluster=1 */";
     }
 
+    /** Guards against a copy of an open request that comes by the same or the other protocol: it ran twice. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCopyOfAnOpenRequestIsRefusedByBothFronts(boolean openedOverFlight) throws Exception {
+        try (FlightFixture fixture = new FlightFixture(StandIns.FLIGHT_KIND)) {
+            fixture.standIns.group().planFaults("w1", Fault.of(Kind.SILENT, Phase.AFTER_RUN));
+            String write = writeStatement("w1", 1_500);
+            ExecutorService pool = Executors.newSingleThreadExecutor();
+            try (FlightSqlClient other = fixture.connect()) {
+                Future<String> open = pool.submit(() -> openedOverFlight ? fixture.queryFlight(write) : fixture.queryPg(write));
+                FlightFixture.await(() -> fixture.standIns.group().runCounts().containsKey("w1"));
+                assertEquals(FlightFixture.BAD, fixture.queryPg(write));
+                assertEquals(FlightFixture.BAD, redeem(other, ticket(other.execute(write)), new AtomicInteger()));
+                assertEquals(FlightFixture.FAILED, open.get());
+                assertEquals(FlightFixture.BAD, fixture.queryPg(write), "it may still run at its server");
+            } finally {
+                pool.shutdown();
+            }
+            assertEquals(Map.of("w1", 1), fixture.standIns.group().runCounts());
+            assertEquals(3, fixture.counter(Counter.IDS_REUSED));
+        }
+    }
+
     private static Ticket ticket(FlightInfo info) {
         return info.getEndpoints().get(0).getTicket();
     }
--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -87,8 +87,9 @@
                 () -> pooler.isReady() && fronts.isServing() && activePolicy.acceptsRequests(), orders::setPoolerOrders,
                 () -> upgrade.get().publishOrdersChange(), () -> clock.now() / Clock.MS);
         upgrade.set(new Upgrade(directory, new Upgrade.LocalState(balancer::writes, balancer::applyWrite, operations::refresh,
-                fronts::openClients, services.slots()::held), services.otherProcess(), deadlines, counters));
+                fronts::openClients, services.slots()::held, balancer.ids().ids()), services.otherProcess(), deadlines, counters));
         balancer.setWriteListener(upgrade.get());
+        balancer.ids().setPeer(upgrade.get().ids());
         AtomicBoolean terminating = new AtomicBoolean();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             terminating.set(true);
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -54,6 +54,7 @@
     private final ReadWriteSplitter splitter;
     private volatile Deployment deployment;
     private final SendGate sendGate;
+    private final IdClaims ids;
     private final Map<Long, Request> openRequests = new HashMap<>();
     private LongFunction<Upstream> upstreams;
     private WriteListener writeListener = write -> { };
@@ -70,6 +71,7 @@
         this.deployment = deployment;
         splitter = new ReadWriteSplitter(deployment.settings(), seed);
         sendGate = new SendGate(counters, registry);
+        ids = new IdClaims(clock, counters);
     }
 
     /** Sets the function that gives the upstream of each server; must be called before the first list. */
@@ -176,12 +178,21 @@
         }
     }
 
-    /** Registers a request that was received completely; {@link #execute} or {@link #clientLeft} must follow. */
-    public Request openRequest(Request.Spec spec) {
+    /** Returns the claims on request ids, which all fronts share. */
+    public IdClaims ids() {
+        return ids;
+    }
+
+    /**
+     * Registers a request that was received completely; {@link #execute} must follow, which ends its claim.
+     *
+     * @param claim the claim on the id that its client gave it; null if it has none
+     */
+    public Request openRequest(Request.Spec spec, IdClaims.Claim claim) {
         lock.lock();
         try {
             counters.count(Counter.REQUESTS_TAKEN);
-            Request request = new Request(++lastId, spec);
+            Request request = new Request(++lastId, spec, claim);
             openRequests.put(request.id, request);
             return request;
         } finally {
@@ -364,14 +375,17 @@
         }
     }
 
-    /** Removes a request that has ended or could not be started. */
-    public void closeRequest(Request request) {
+    /** Removes a request that has ended. */
+    private void closeRequest(Request request) {
+        boolean mayHaveRun;
         lock.lock();
         try {
             openRequests.remove(request.id);
+            mayHaveRun = request.mayHaveRun();
         } finally {
             lock.unlock();
         }
+        request.endClaim(mayHaveRun);
     }
 
     private void timerFired(int handle) {
--- a/pooler/src/main/java/holdmux/core/Request.java
+++ b/pooler/src/main/java/holdmux/core/Request.java
@@ -41,9 +41,24 @@
     long clientLeftAt;
     Effect effect = Effect.IDEMPOTENT;
 
-    Request(long id, Spec spec) {
+    private final IdClaims.Claim claim;
+
+    Request(long id, Spec spec, IdClaims.Claim claim) {
         this.id = id;
         this.spec = spec;
+        this.claim = claim;
+    }
+
+    /** Whether an attempt may have run; guarded by the balancer's lock. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    /** Ends the claim on the client's id; to be called once no attempt is in progress. */
+    void endClaim(boolean mayHaveRun) {
+        if (claim != null) {
+            claim.end(mayHaveRun);
+        }
     }
 
     /** Adds a step for the thread that runs the request. */
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -12,7 +12,6 @@
 import holdmux.core.Responder;
 import holdmux.core.ScalarResult;
 import holdmux.core.UpdateResult;
-import holdmux.statement.ChunkedText;
 import holdmux.statement.QueryBuffers;
 import holdmux.statement.SqlState;
 import holdmux.statement.Statement;
@@ -22,7 +21,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -36,26 +34,10 @@
  */
 final class ClientSession implements Runnable {
     /** Dependencies shared by all sessions. */
-    record Context(Balancer balancer, Admission admission, QueryBuffers buffers,
-            Clock clock, Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
+    record Context(Balancer balancer, Admission admission, CommandParser parser, QueryBuffers buffers, Clock clock,
+            Deadlines deadlines, Counters counters, Executor workers, CountDownLatch ready,
             ClientRegistry clients) {}
 
-    /**
-     * A command waiting for its answer: a query, held in pooled buffers if it is long, or the error in the input. With both
-     * null it is the client's Terminate message.
-     *
-     * @param delayNs how long the query may have lain unread, in nanoseconds
-     */
-    private record Command(ChunkedText query, ProtocolException error, long delayNs) {
-        Command(ProtocolException error) {
-            this(null, error, 0);
-        }
-
-        int length() {
-            return query == null ? 0 : query.length;
-        }
-    }
-
     private static final int CANCEL_REQUEST = 80_877_102, SSL_REQUEST = 80_877_103, GSS_REQUEST = 80_877_104;
     /** A CancelRequest consists of its length, its code, the process ID and the secret key. */
     private static final int CANCEL_LENGTH = 4 * Integer.BYTES;
@@ -74,8 +56,6 @@
     private static final long LINGER_NS = 150 * Clock.MS;
     private static final ProtocolException TOO_MANY_COMMANDS =
             ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
-    private static final ProtocolException NO_BUFFER =
-            ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "no memory for a query of this length at present");
     private static final ProtocolException READ_TOO_LATE =
             ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "the query was read after its time");
     private final Socket socket;
@@ -87,9 +67,9 @@
     // The fields from here on are guarded by this object's monitor.
 
     /** Commands to answer: at most MAX_QUEUED in the queue, then refusals of those above the limits, then the final command. */
-    private final ArrayDeque<Command> queue = new ArrayDeque<>(2);
+    private final ArrayDeque<ClientCommand> queue = new ArrayDeque<>(2);
     private int queuedBytes, pendingRefusals;
-    private Command finalCommand;
+    private ClientCommand finalCommand;
     /** Whether a message is being read, commands are being answered, too many commands were sent at once, the connection is to
      * be closed when all commands are answered, and the connection has ended, after which no input is accepted. */
     private boolean reading, answering, overloaded, closing, ended;
@@ -118,7 +98,7 @@
             }
             discardInput();
         } catch (ProtocolException e) {
-            enqueue(new Command(e), true);
+            enqueue(ClientCommand.invalid(e), true);
             discardInput();
         } catch (IOException e) {
             abort(); // disconnected by either side
@@ -204,14 +184,14 @@
         switch (type) {
             case 'Q' -> {
                 if (canQueue()) {
-                    enqueueQuery(queries.read(length));
+                    enqueue(context.parser().parse(queries.read(length)), false);
                 } else {
                     queries.skip(length);
                     enqueueRefusal();
                 }
             }
             case 'X' -> {
-                enqueue(new Command(null), true);
+                enqueue(ClientCommand.of(ClientCommand.Kind.TERMINATE), true);
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
@@ -239,21 +219,12 @@
         scheduleAnswering();
     }
 
-    private void enqueueQuery(QueryReader.Query query) {
-        if (query.text() == null) {
-            counters.count(Counter.QUERIES_WITHOUT_BUFFER);
-            enqueue(new Command(NO_BUFFER), false);
-        } else {
-            enqueue(new Command(query.text(), null, query.delayNs()), false);
-        }
-    }
-
     /** Queues a command, or the final one behind all others and all refusals, and makes sure that a worker answers it. */
-    private void enqueue(Command command, boolean isFinal) {
+    private void enqueue(ClientCommand command, boolean isFinal) {
         synchronized (this) {
             reading = false;
             if (ended) {
-                release(command); // the output is shut down, so the command must not be forwarded
+                command.release(context.buffers()); // the output is shut down, so the command must not be forwarded
                 return;
             }
             if (isFinal) {
@@ -287,7 +258,7 @@
 
     /** Answers the queued commands in order until there are none. */
     private void answerQueued() {
-        for (Command command = nextCommand(); command != null; command = nextCommand()) {
+        for (ClientCommand command = nextCommand(); command != null; command = nextCommand()) {
             try {
                 answer(command);
             } catch (IOException e) {
@@ -297,16 +268,16 @@
                 Log.error("an answer failed here", e);
                 abort();
             } finally {
-                release(command);
+                command.release(context.buffers());
             }
         }
     }
 
     /** The next command to answer, or null; then the connection is idle, or is closed if that was requested. */
-    private Command nextCommand() {
+    private ClientCommand nextCommand() {
         boolean endNow;
         synchronized (this) {
-            Command command = pollQueue();
+            ClientCommand command = pollQueue();
             if (command != null) {
                 return command;
             }
@@ -326,13 +297,13 @@
         return null;
     }
 
-    private Command pollQueue() {
-        Command command = queue.poll();
+    private ClientCommand pollQueue() {
+        ClientCommand command = queue.poll();
         if (command != null) {
             queuedBytes -= command.length();
         } else if (pendingRefusals > 0) {
             pendingRefusals--;
-            command = new Command(TOO_MANY_COMMANDS);
+            command = ClientCommand.invalid(TOO_MANY_COMMANDS);
         } else {
             command = finalCommand;
             finalCommand = null;
@@ -340,21 +311,15 @@
         return command;
     }
 
-    private void answer(Command command) throws IOException {
-        if (command.error() != null) {
+    private void answer(ClientCommand command) throws IOException {
+        if (command.kind() == ClientCommand.Kind.INVALID) {
             rejectInput(command.error());
-        } else if (command.query() == null) {
+        } else if (command.kind() == ClientCommand.Kind.TERMINATE) {
             closeAfterQueue();
         } else if (isOverloaded()) {
             rejectInput(TOO_MANY_COMMANDS);
         } else {
-            try {
-                answerQuery(command);
-            } catch (ProtocolException e) {
-                rejectInput(e);
-            } catch (StatementException e) {
-                rejectInput(ProtocolException.rejected(e));
-            }
+            answerQuery(command);
         }
     }
 
@@ -366,64 +331,67 @@
         closing = true;
     }
 
-    private void release(Command command) {
-        if (command.query() != null) {
-            command.query().release(context.buffers());
-        }
-    }
-
-    private void answerQuery(Command command) throws IOException, ProtocolException, StatementException {
-        ChunkedText query = command.query();
-        int end = command.length() - 1;
-        if (end < 0 || query.byteAt(end) != 0) {
-            throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "query is not zero-terminated");
-        }
-        if (isBlank(query, end)) {
-            context.clients().markBusy(this);
-            if (context.clients().isEvacuating()) {
-                out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is being evacuated", 0);
-                return;
-            }
-            awaitReady();
-            counters.count(Counter.EMPTY_QUERIES);
-            out.writeEmptyQuery();
-        } else if (isShowStats(query, end)) {
+    private void answerQuery(ClientCommand command) throws IOException {
+        if (command.kind() == ClientCommand.Kind.EMPTY_QUERY) {
+            answerEmptyQuery();
+        } else if (command.kind() == ClientCommand.Kind.SHOW_STATS) {
             context.clients().markBusy(this);
             out.writeStats(counters);
         } else {
-            Statement statement = Statement.parse(query.withoutLastByte());
-            Admission.Refusal refusal = context.admission().refusal();
-            if (refusal != null) {
-                counters.count(refusal.counter());
-                out.writeError(SqlState.CANNOT_CONNECT_NOW, refusal.reason(), refusal.retryAfterNs());
-                return;
-            }
-            long remainingNs = Admission.remainingWaitNs(statement) - command.delayNs();
-            if (remainingNs <= 0) {
-                throw READ_TOO_LATE;
-            }
-            Request.Spec spec = context.admission().admit(statement, Math.min(remainingNs, context.clients().timeLeftNs()));
-            context.clients().markBusy(this);
-            long timeLeftNs = context.clients().timeLeftNs();
-            if (timeLeftNs <= 0 || timeLeftNs < Admission.remainingWaitNs(statement) && statement.write) {
-                // the outcome could not be reported before the shutdown; another pooler can take the request
-                closeAfterQueue();
-                out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is shutting down", 0);
-                return;
-            }
-            Request request = context.balancer().openRequest(spec);
-            if (!startRequest(request)) {
-                context.balancer().clientLeft(request);
-            }
-            PgResponder responder = new PgResponder(statement);
-            context.balancer().execute(request, statement, responder);
-            if (finishRequest() && !responder.answered) {
-                counters.count(Counter.QUERIES_CANCELED);
-                out.writeError(SqlState.QUERY_CANCELED, "canceling statement due to user request", 0);
+            try {
+                answerRequest(command);
+            } catch (ProtocolException e) {
+                rejectInput(e);
+            } catch (StatementException e) {
+                rejectInput(ProtocolException.rejected(e));
             }
         }
     }
 
+    private void answerEmptyQuery() throws IOException {
+        context.clients().markBusy(this);
+        if (context.clients().isEvacuating()) {
+            out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is being evacuated", 0);
+            return;
+        }
+        awaitReady();
+        counters.count(Counter.EMPTY_QUERIES);
+        out.writeEmptyQuery();
+    }
+
+    private void answerRequest(ClientCommand command) throws IOException, ProtocolException, StatementException {
+        Statement statement = command.statement();
+        Admission.Refusal refusal = context.admission().refusal();
+        if (refusal != null) {
+            counters.count(refusal.counter());
+            out.writeError(SqlState.CANNOT_CONNECT_NOW, refusal.reason(), refusal.retryAfterNs());
+            return;
+        }
+        long remainingNs = Admission.remainingWaitNs(statement) - command.delayNs();
+        if (remainingNs <= 0) {
+            throw READ_TOO_LATE;
+        }
+        Request.Spec spec = context.admission().admit(statement, Math.min(remainingNs, context.clients().timeLeftNs()));
+        context.clients().markBusy(this);
+        long timeLeftNs = context.clients().timeLeftNs();
+        if (timeLeftNs <= 0 || timeLeftNs < Admission.remainingWaitNs(statement) && statement.write) {
+            // the outcome could not be reported before the shutdown; another pooler can take the request
+            closeAfterQueue();
+            out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is shutting down", 0);
+            return;
+        }
+        Request request = context.balancer().openRequest(spec, command.claim());
+        if (!startRequest(request)) {
+            context.balancer().clientLeft(request);
+        }
+        PgResponder responder = new PgResponder(statement);
+        context.balancer().execute(request, statement, responder);
+        if (finishRequest() && !responder.answered) {
+            counters.count(Counter.QUERIES_CANCELED);
+            out.writeError(SqlState.QUERY_CANCELED, "canceling statement due to user request", 0);
+        }
+    }
+
     /** Notes the request in progress; false if the client has disconnected. */
     private synchronized boolean startRequest(Request request) {
         currentRequest = request;
@@ -458,21 +426,6 @@
         }
     }
 
-    private static boolean isShowStats(ChunkedText query, int end) {
-        // 32 bytes hold the command and some white space; longer queries are statements
-        return end < 32 && query.substring(0, end).strip().toUpperCase(Locale.ROOT)
-                .matches("SHOW STATS\\s*;?");
-    }
-
-    private static boolean isBlank(ChunkedText query, int end) {
-        for (int i = 0; i < end; i++) {
-            if (" ;\n\t\r".indexOf(query.byteAt(i)) < 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Writes the answer to one request as PostgreSQL messages. */
     private final class PgResponder implements Responder {
         private final Statement statement;
@@ -561,7 +514,7 @@
     /** Closes the connection at once; cancels the request in progress and discards the queued commands. */
     private void abort() {
         Request request;
-        List<Command> discarded;
+        List<ClientCommand> discarded;
         synchronized (this) {
             ended = true;
             request = currentRequest;
@@ -571,7 +524,7 @@
             pendingRefusals = 0;
             finalCommand = null;
         }
-        discarded.forEach(this::release);
+        discarded.forEach(command -> command.release(context.buffers()));
         if (request != null) {
             context.balancer().clientLeft(request);
         }
--- a/pooler/src/main/java/holdmux/pg/PgFront.java
+++ b/pooler/src/main/java/holdmux/pg/PgFront.java
@@ -29,9 +29,10 @@
         Caps caps = config.caps();
         deployment = config.deployment();
         clients = new ClientRegistry(caps.clients(), services.otherProcess(), services.clock(), services.deadlines());
-        listener = new Listener(config.listen(), new ClientSession.Context(services.balancer(), services.admission(),
-                new QueryBuffers(caps.queryBytes(), Statement.MAX_BYTES, services.otherProcess()::present), services.clock(),
-                services.deadlines(), services.counters(), services.workers(), ready, clients),
+        QueryBuffers buffers = new QueryBuffers(caps.queryBytes(), Statement.MAX_BYTES, services.otherProcess()::present);
+        CommandParser parser = new CommandParser(services.admission(), services.balancer().ids(), buffers, services.counters());
+        listener = new Listener(config.listen(), new ClientSession.Context(services.balancer(), services.admission(), parser,
+                buffers, services.clock(), services.deadlines(), services.counters(), services.workers(), ready, clients),
                 new Workers(caps.clients() + CLOSING_CLIENT_THREADS));
     }
 
--- a/pooler/src/main/java/holdmux/upgrade/Link.java
+++ b/pooler/src/main/java/holdmux/upgrade/Link.java
@@ -22,7 +22,15 @@
         /** The sender holds {@code a} client connections and {@code b} server connections. */
         USAGE(false),
         /** The sender serves clients. */
-        SERVING(false);
+        SERVING(false),
+        /** The newer process asks the older one for the request id with the hash {@code a}, {@code b}; see {@link IdSharing}. */
+        CLAIM_ID(false),
+        /** The answer to {@link #CLAIM_ID}: the ordinal of the {@link holdmux.core.RequestIds.Verdict} in {@code c}. */
+        ID_VERDICT(false),
+        /** A request of the older process uses this id. */
+        ID_USED(false),
+        /** The request with this id certainly never ran. */
+        ID_RELEASED(false);
 
         final boolean needsAck;
 
@@ -34,12 +42,18 @@
     /** One message; the meaning of {@code a}, {@code b} and {@code c} depends on the kind. */
     record Frame(Kind kind, long a, long b, long c) {}
 
-    /** Size of an encoded frame: the kind as an int, an unused int, and three longs. */
+    /** Size of an encoded frame: the kind and the sender's version as ints, and three longs. */
     static final int FRAME_BYTES = 2 * Integer.BYTES + 3 * Long.BYTES;
+    /** The version of this program's frames; older programs send 0 and close the link on a kind that they do not know. */
+    private static final int VERSION = 1;
+    /** The first version that knows the frames about request ids. */
+    private static final int FIRST_VERSION_WITH_IDS = 1;
 
     private final SocketChannel channel;
     private final ByteBuffer in = ByteBuffer.allocate(FRAME_BYTES);
     private long sentNeedingAck;
+    /** The other process's version as far as it is known. */
+    private volatile int peerVersion;
 
     Link(SocketChannel channel) {
         this.channel = channel;
@@ -63,11 +77,18 @@
                 throw new IOException("the other process closed the connection");
             }
         }
-        return decode(in.flip());
+        in.flip();
+        peerVersion = in.getInt(Integer.BYTES);
+        return decode(in);
+    }
+
+    /** Whether the other process has shown that it knows the frames about request ids. */
+    boolean peerSharesIds() {
+        return peerVersion >= FIRST_VERSION_WITH_IDS;
     }
 
     static ByteBuffer encode(Frame frame) {
-        return ByteBuffer.allocate(FRAME_BYTES).putInt(frame.kind().ordinal()).putInt(0).putLong(frame.a())
+        return ByteBuffer.allocate(FRAME_BYTES).putInt(frame.kind().ordinal()).putInt(VERSION).putLong(frame.a())
                 .putLong(frame.b()).putLong(frame.c()).flip();
     }
 
--- a/pooler/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/pooler/src/main/java/holdmux/upgrade/Upgrade.java
@@ -4,8 +4,10 @@
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
+import holdmux.core.IdPeer;
 import holdmux.core.Log;
 import holdmux.core.OtherProcess;
+import holdmux.core.RequestIds;
 import holdmux.core.Workers;
 import holdmux.core.WriteListener;
 import holdmux.decision.SplitterApi.LastWrite;
@@ -39,9 +41,10 @@
      * @param refreshOrders     rereads the operators' orders
      * @param clientConnections client connections open here
      * @param serverConnections server connections open here
+     * @param ids               the ids of the requests known here
      */
     public record LocalState(Supplier<List<LastWrite>> writes, Consumer<LastWrite> recordWrite, Runnable refreshOrders,
-            IntSupplier clientConnections, IntSupplier serverConnections) {}
+            IntSupplier clientConnections, IntSupplier serverConnections, RequestIds ids) {}
 
     /** How long an acknowledgement is awaited; far longer than a garbage collection pause on half a core. */
     private static final long ACK_TIMEOUT_MS = 500;
@@ -62,6 +65,7 @@
     private final OtherProcess otherProcess;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final IdSharing ids;
     private final CountDownLatch synced = new CountDownLatch(1);
     /**
      * Guarded by this object's monitor, as are the next two: the link to the other process (null if there is none), the
@@ -78,6 +82,12 @@
         this.otherProcess = otherProcess;
         this.deadlines = deadlines;
         this.counters = counters;
+        ids = new IdSharing(local.ids(), deadlines::now, this::send);
+    }
+
+    /** Returns the other process as far as request ids are concerned. */
+    public IdPeer ids() {
+        return ids;
     }
 
     /** Connects to an older process, if there is one, and starts listening for newer ones. Returns whether there is an older one. */
@@ -136,7 +146,7 @@
     /** Communicates with the older process until it is gone, then accepts one newer process after another. */
     private void exchangeWithPeers(Link older) {
         if (older != null) {
-            receiveUntilClosed(older);
+            receiveUntilClosed(older, true);
         }
         while (true) {
             try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
@@ -151,7 +161,7 @@
                         send(new Frame(Kind.PAST_WRITE, write.group(), write.session(), write.positionNs()));
                     }
                     send(new Frame(Kind.SYNCED, 0, 0, 0));
-                    receiveUntilClosed(newer);
+                    receiveUntilClosed(newer, false);
                 }
             } catch (IOException | RuntimeException e) {
                 Log.error("upgrade: no newer process can be met", e);
@@ -167,11 +177,17 @@
     }
 
     /** Handles frames from the other process until the link is closed. */
-    private void receiveUntilClosed(Link link) {
+    private void receiveUntilClosed(Link link, boolean peerIsOlder) {
         Workers.newThread("upgrade holds", () -> reportUsage(link)).start();
         try {
+            boolean sharesIds = false;
             while (true) {
-                handle(link.receive());
+                Frame frame = link.receive();
+                if (!sharesIds && link.peerSharesIds()) {
+                    sharesIds = true;
+                    ids.begin(link, peerIsOlder);
+                }
+                handle(link, frame);
             }
         } catch (IOException | RuntimeException e) {
             Log.info("upgrade: the other process is gone: " + e.getMessage());
@@ -181,7 +197,7 @@
         }
     }
 
-    private void handle(Frame frame) {
+    private void handle(Link link, Frame frame) {
         switch (frame.kind()) {
             case PAST_WRITE, PENDING_WRITE -> local.recordWrite().accept(new LastWrite((int) frame.a(), frame.b(), frame.c()));
             case ORDERS_CHANGED -> local.refreshOrders().run();
@@ -189,6 +205,7 @@
             case SYNCED -> synced.countDown();
             case USAGE -> otherProcess.update((int) frame.a(), (int) frame.b());
             case SERVING -> markPeerServing();
+            case CLAIM_ID, ID_VERDICT, ID_USED, ID_RELEASED -> ids.handle(link, frame);
         }
         if (frame.kind().needsAck) {
             send(new Frame(Kind.ACK, 0, 0, 0));
@@ -210,9 +227,21 @@
             peer = peer == link ? null : peer;
             notifyAll();
         }
+        ids.end(link);
         otherProcess.clear();
     }
 
+    /** Closes the link to the other process, as the end of this process does. */
+    void disconnect() {
+        Link link;
+        synchronized (this) {
+            link = peer;
+        }
+        if (link != null) {
+            link.close();
+        }
+    }
+
     /** Sends a frame and waits for its acknowledgement; returns at once if there is no other process. */
     private void sendAndAwaitAck(Frame frame) {
         Link link;
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -118,6 +118,10 @@
         return new HostList(1, whole, List.of(hosts));
     }
 
+    private Request open(Request.Spec spec) {
+        return balancer.openRequest(spec, null);
+    }
+
     private void execute(Request request, ScriptedExchange script) {
         upstream = script;
         balancer.execute(request, null, script);
@@ -127,7 +131,7 @@
         ScriptedExchange script = new ScriptedExchange(outcomes);
         Request.Spec spec = new Request.Spec(classIndex == READ ? "history" : "save-quote",
                 classIndex == READ ? Consistency.ANY : Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2);
-        execute(balancer.openRequest(spec), script);
+        execute(open(spec), script);
         return script;
     }
 
@@ -168,14 +172,14 @@
                 throw new IllegalStateException("planted");
             }
         };
-        execute(balancer.openRequest(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
+        execute(open(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)), script);
         assertEquals(List.of("failed"), script.answers);
         assertEquals(List.of("served"), run(READ, Outcome.OK).answers);
     }
 
     @Test
     void clientThatLeftGetsNoAnswer() {
-        Request request = balancer.openRequest(new Request.Spec("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
+        Request request = open(new Request.Spec("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
         balancer.clientLeft(request);
         ScriptedExchange script = new ScriptedExchange();
         execute(request, script);
@@ -188,7 +192,7 @@
     void requestWithoutServerIsRefusedWithRetryTime() {
         balancer.listChanged(list(true, host("s-2", false, Availability.DRAINING)), false);
         ScriptedExchange script = new ScriptedExchange();
-        Request request = balancer.openRequest(new Request.Spec("history", Consistency.ANY, false, Clock.MS, 0, 7, 2));
+        Request request = open(new Request.Spec("history", Consistency.ANY, false, Clock.MS, 0, 7, 2));
         Thread sweeper = Workers.newThread("sweeper", deadlines::run);
         sweeper.start();
         execute(request, script);
@@ -201,7 +205,7 @@
     void abandonedRequestAbortsItsAttemptAtOnce(boolean clientLeft) {
         Limits noCancel = new Limits(6, true, false, true, true, 500 * Clock.MS, false);
         balancer.reconfigure(deployment(with(settings(), settings().classes(), noCancel), "history", "save-quote"));
-        Request request = balancer.openRequest(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2));
+        Request request = open(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2));
         List<LastWrite> written = new ArrayList<>();
         balancer.setWriteListener(written::add);
         ScriptedExchange script = new ScriptedExchange() {
@@ -269,7 +273,7 @@
         RequestClass write = old.classes().get(WRITE);
         RequestClass safe = new RequestClass(Consistency.WRITE, 0, write.onTimeNs(), write.deadlineNs(), 3, 0.5,
                 Effect.IDEMPOTENT, Scope.ALL, 0);
-        Request open = balancer.openRequest(new Request.Spec("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
+        Request open = open(new Request.Spec("history", Consistency.ANY, false, 900 * Clock.MS, 0, 7, 2));
         balancer.reconfigure(deployment(with(old, List.of(safe, read), old.limits()), "save-quote", "history-r2"));
         ScriptedExchange dropped = new ScriptedExchange();
         execute(open, dropped);
@@ -296,7 +300,7 @@
                 order.add("served");
             }
         };
-        execute(balancer.openRequest(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)),
+        execute(open(new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2)),
                 script);
         assertEquals(List.of("told 7", "served"), order);
         assertTrue(balancer.writes().stream().anyMatch(w -> w.session() == 7 && w.positionNs() > 0));
@@ -307,7 +311,7 @@
     void internalErrorIsAnsweredAsFailed() {
         fault = new StackOverflowError();
         ScriptedExchange script = new ScriptedExchange();
-        execute(balancer.openRequest(new Request.Spec("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
+        execute(open(new Request.Spec("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
         assertEquals(List.of("failed"), script.answers);
         assertEquals(1, counters.get(Counter.INTERNAL_ERRORS));
     }
@@ -316,7 +320,7 @@
     @Test
     void retriedRequestBreaksNoRule() {
         ScriptedExchange script = new ScriptedExchange(Outcome.RESET, Outcome.OK);
-        execute(balancer.openRequest(new Request.Spec("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
+        execute(open(new Request.Spec("history", Consistency.ANY, false, 1_000 * Clock.MS, 0, 0, 2)), script);
         assertEquals(List.of("served"), script.answers);
         assertEquals(0, counters.get(Counter.VIOLATIONS_UNPERMITTED));
         assertEquals(1, counters.get(Counter.RETRIES));
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -10,6 +10,7 @@
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
 import holdmux.core.OtherProcess;
+import holdmux.core.RequestId;
 import holdmux.core.ServerRegistry;
 import holdmux.core.ServerSlots;
 import holdmux.core.Services;
@@ -35,6 +36,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -56,6 +58,8 @@
     private static final String WRITE = "INSERT INTO facts (code, data) VALUES ('7f', '\\x9f') RETURNING data "
             + "/* id=9b,c=save-quote,d=3000,cluster=2 */";
 
+    private static final AtomicInteger LAST_ID = new AtomicInteger();
+
     /** Capacity for messages of usual length. */
     private static final int MESSAGE_BYTES = 200_000;
     private static final int MIB = 1 << 20;
@@ -194,8 +198,9 @@
         message.beginUntyped().put(MessageBuilder.PROTOCOL_3).put("user").put("portal").put('\0').end();
     }
 
+    /** Adds a query; where the text has the id of {@link #WRITE}, it becomes an id of its own, as each request has. */
     private static void query(MessageBuilder message, String text) {
-        message.begin('Q').put(text).end();
+        message.begin('Q').put(text.replace("id=9b,", "id=f" + LAST_ID.incrementAndGet() + ",")).end();
     }
 
     /**
@@ -227,6 +232,23 @@
         return types.toString().replace("RSSSSSSKZ", "hello ");
     }
 
+    private static String read(String id, String key, String className) {
+        return "SELECT data FROM facts WHERE code = '" + key + "' /* id=" + id + ",c=" + className + ",d=3000,cluster=2 */";
+    }
+
+    private boolean isKnown(String id) {
+        RequestId hash = RequestId.of(id);
+        return balancer.ids().ids().snapshot().stream().anyMatch(known -> known.id().equals(hash));
+    }
+
+    /** Waits until an id becomes known or unknown: it is read in the background, and freed behind its answer. */
+    private void awaitId(String id, boolean known) {
+        for (int i = 0; i < 300 && isKnown(id) != known; i++) {
+            sleep(10);
+        }
+        assertEquals(known, isKnown(id));
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -315,7 +337,8 @@
 
     /** Writes a Query message with a value of 4 MiB, but for its last byte. */
     private static void writeAllButTheEnd(Socket client) {
-        byte[] text = WRITE.replace("\\x9f", "\\x" + "9f0a".repeat(2 * MIB)).getBytes(StandardCharsets.UTF_8);
+        String write = WRITE.replace("id=9b,", "id=l" + LAST_ID.incrementAndGet() + ",");
+        byte[] text = write.replace("\\x9f", "\\x" + "9f0a".repeat(2 * MIB)).getBytes(StandardCharsets.UTF_8);
         try {
             client.getOutputStream().write(ByteBuffer.allocate(5).put((byte) 'Q').putInt(text.length + 5).array());
             client.getOutputStream().write(text);
@@ -919,6 +942,102 @@
         }
     }
 
+    /** How a copy of an open request differs from it, or what has become of its client. */
+    private enum Copy { SAME_STATEMENT, OTHER_KEY, OTHER_CLASS, PIPELINED, CLIENT_CLOSED, CLIENT_RESET, CLIENT_CANCELLED }
+
+    /**
+     * The id of an open request, or of one that may still run, comes again. Guards against serving the copy, and against running
+     * a write twice.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void aCopyOfAnOpenRequestIsRefused(Copy copy) throws Exception {
+        for (boolean write : List.of(true, false)) {
+            String id = "a" + LAST_ID.incrementAndGet();
+            String original = write ? WRITE.replace("id=9b,", "id=" + id + ",") : read(id, "7f", "my-quotes");
+            CountDownLatch asked = new CountDownLatch(1);
+            CountDownLatch go = new CountDownLatch(1);
+            answerScript = m -> {
+                asked.countDown();
+                while (go.getCount() > 0) {
+                    sleep(5);
+                }
+                AnswerTest.result(m, "v").readyForQuery();
+            };
+            queries.clear();
+            try (Socket client = client()) {
+                send(client, PoolerTest::startup);
+                byte[] key = readCancelKey(client);
+                send(client, m -> query(m, original));
+                asked.await();
+                long left = counters.get(Counter.CLIENTS_LEFT);
+                switch (copy) {
+                    case PIPELINED -> send(client, m -> query(m, original));
+                    case CLIENT_CLOSED -> Departure.CLOSES.apply(this, client, key);
+                    case CLIENT_RESET -> Departure.RESETS.apply(this, client, key);
+                    case CLIENT_CANCELLED -> Departure.CANCELS.apply(this, client, key);
+                    case OTHER_KEY -> assertEquals("hello E22023Z", ask(original.replace("'7f'", "'80'")));
+                    case OTHER_CLASS -> assertEquals("hello E22023Z", ask(read(id, "7f", "history")));
+                    default -> { }
+                }
+                boolean clientLeft = copy.name().startsWith("CLIENT");
+                if (clientLeft) {
+                    awaitIncrement(Counter.CLIENTS_LEFT, left);
+                }
+                assertEquals("hello E22023Z", ask(original));
+                go.countDown();
+                if (!clientLeft) {
+                    String answers = copy == Copy.PIPELINED ? "TDCZE22023Z" : "TDCZ";
+                    assertEquals(answers, readTypes(client, copy == Copy.PIPELINED ? 2 : 1));
+                }
+                assertEquals("hello E22023Z", ask(original), "after the answer");
+            }
+            assertEquals(1, queries.size());
+        }
+        assertTrue(counters.get(Counter.IDS_REUSED) >= 4);
+    }
+
+    /** Guards against a copy that takes the place of a request that waits behind another one on its connection. */
+    @Test
+    void aCopyOfAQueuedRequestIsRefused() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        answerScript = m -> {
+            asked.countDown();
+            while (go.getCount() > 0) {
+                sleep(5);
+            }
+            AnswerTest.result(m, "v").readyForQuery();
+        };
+        try (Socket client = client()) {
+            send(client, m -> {
+                startup(m);
+                query(m, WRITE);
+                query(m, WRITE.replace("id=9b,", "id=queued,"));
+            });
+            asked.await();
+            awaitId("queued", true);
+            assertEquals("hello E22023Z", ask(WRITE.replace("id=9b,", "id=queued,")));
+            go.countDown();
+            assertEquals("hello TDCZTDCZ", readTypes(client, 3));
+        }
+        assertEquals(2, queries.size());
+    }
+
+    /** A request that certainly never ran gives its id back: a driver may send the statement again as it was. */
+    @Test
+    void theIdOfARequestThatNeverRanIsFree() throws Exception {
+        Consumer<MessageBuilder> answer = answerScript;
+        answerScript = m -> m.error(false, SqlState.TOO_MANY_CONNECTIONS, "full", null).readyForQuery();
+        String write = WRITE.replace("id=9b,", "id=again,").replace("d=3000", "d=1000");
+        assertEquals("hello E53300Z", ask(write));
+        assertEquals("hello E22023Z", ask(write.replace("cluster=2", "cluster=9")));
+        answerScript = answer;
+        awaitId("again", false);
+        assertEquals("hello TDCZ", ask(write));
+        assertEquals(0, counters.get(Counter.IDS_REUSED));
+    }
+
     /** Reads all data up to an orderly close; after a reset, unread data is lost and the read fails. */
     private static String readToEnd(Socket client) throws IOException {
         return new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -9,9 +9,14 @@
 import holdmux.core.Counters;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Deadlines;
+import holdmux.core.IdClaims;
 import holdmux.core.OtherProcess;
 import holdmux.core.Workers;
+import holdmux.decision.SplitterApi.Effect;
 import holdmux.decision.SplitterApi.LastWrite;
+import holdmux.statement.ChunkedText;
+import holdmux.statement.Statement;
+import holdmux.statement.StatementException;
 import holdmux.upgrade.Link.Frame;
 import holdmux.upgrade.Link.Kind;
 import java.io.IOException;
@@ -20,11 +25,16 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -41,13 +51,15 @@
         final AtomicInteger orderRefreshes = new AtomicInteger();
         final OtherProcess otherProcess = new OtherProcess();
         final Counters counters = new Counters();
+        final IdClaims claims = new IdClaims(new Clock(), counters);
         final Upgrade upgrade;
 
         TestProcess(Path directory, int clients, LastWrite... existingWrites) {
             Deadlines deadlines = new Deadlines(new Clock());
             Workers.newThread("deadlines", deadlines::run).start();
             upgrade = new Upgrade(directory, new Upgrade.LocalState(() -> List.of(existingWrites), receivedWrites::add,
-                    orderRefreshes::incrementAndGet, () -> clients, () -> 2 * clients), otherProcess, deadlines, counters);
+                    orderRefreshes::incrementAndGet, () -> clients, () -> 2 * clients, claims.ids()), otherProcess, deadlines, counters);
+            claims.setPeer(upgrade.ids());
         }
     }
 
@@ -132,6 +144,121 @@
         assertTrue(System.nanoTime() - start < 200 * Clock.MS);
     }
 
+    private static Statement statement(String id) throws StatementException {
+        String text = "SELECT data FROM facts WHERE code = '7f' /* id=" + id + ",c=history,d=900,cluster=1 */";
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return Statement.parse(ChunkedText.of(bytes, bytes.length));
+    }
+
+    private static boolean isAccepted(TestProcess process, String id, Effect effect) {
+        try {
+            process.claims.claim(statement(id), effect);
+            return true;
+        } catch (StatementException e) {
+            return false;
+        }
+    }
+
+    private static void awaitSharedIds(TestProcess older, TestProcess newer) throws InterruptedException {
+        isAccepted(older, "shared", Effect.IDEMPOTENT);
+        waitUntil(() -> newer.claims.ids().size() > 0);
+    }
+
+    /** Guards against a copy that reaches the other process: the request was served twice, and a write ran twice. */
+    @Test
+    void copiesAtBothProcessesAreAcceptedOnce(@TempDir Path directory) throws Exception {
+        TestProcess[] processes = startPair(directory);
+        awaitSharedIds(processes[0], processes[1]);
+        ExecutorService pool = Executors.newFixedThreadPool(2);
+        try {
+            for (int i = 0; i < 1_000; i++) {
+                String id = "copied" + i;
+                CyclicBarrier start = new CyclicBarrier(2);
+                List<Future<Boolean>> accepted = new ArrayList<>();
+                for (TestProcess process : processes) {
+                    accepted.add(pool.submit(() -> {
+                        start.await();
+                        return isAccepted(process, id, Effect.AT_MOST_ONCE);
+                    }));
+                }
+                boolean byOlder = accepted.get(0).get();
+                boolean byNewer = accepted.get(1).get();
+                assertFalse(byOlder && byNewer, "both copies of " + id);
+                assertTrue(byOlder || byNewer || processes[1].counters.get(Counter.UPGRADE_WORDS_MISSED) > 0, "no copy of " + id);
+                assertFalse(isAccepted(processes[i % 2], id, Effect.AT_MOST_ONCE), "a copy that comes later");
+            }
+        } finally {
+            pool.shutdown();
+        }
+    }
+
+    /** Ids from before the upgrade, and those of requests that a process which has ended may have run, stay known. */
+    @Test
+    void idsOfTheOlderProcessStayKnown(@TempDir Path directory) throws Exception {
+        TestProcess older = new TestProcess(directory, 1);
+        older.upgrade.join();
+        assertTrue(isAccepted(older, "before", Effect.AT_MOST_ONCE));
+        TestProcess newer = new TestProcess(directory, 1);
+        waitUntil(() -> Files.exists(directory.resolve("holdmux.sock")));
+        newer.upgrade.join();
+        newer.upgrade.awaitSynced();
+        awaitSharedIds(older, newer);
+        assertTrue(isAccepted(older, "during", Effect.AT_MOST_ONCE));
+        IdClaims.Claim unused = older.claims.claim(statement("unused"), Effect.AT_MOST_ONCE);
+        unused.end(false);
+        assertTrue(isAccepted(newer, "unused", Effect.AT_MOST_ONCE), "no request with this id ran");
+        older.upgrade.disconnect();
+        waitUntil(() -> !newer.otherProcess.present());
+        assertFalse(isAccepted(newer, "before", Effect.AT_MOST_ONCE));
+        assertFalse(isAccepted(newer, "during", Effect.AT_MOST_ONCE));
+        assertTrue(isAccepted(newer, "after", Effect.AT_MOST_ONCE));
+    }
+
+    /** While the older process answers nothing, a write cannot be known to be no copy and is refused; a read goes on. */
+    @Test
+    void aSilentOlderProcessHoldsUpNoRead(@TempDir Path directory) throws Exception {
+        try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            server.bind(UnixDomainSocketAddress.of(directory.resolve("holdmux.sock")));
+            TestProcess newer = new TestProcess(directory, 1);
+            assertTrue(newer.upgrade.join());
+            Link silent = new Link(server.accept());
+            silent.send(new Frame(Kind.ID_USED, 1, 1, 0));
+            waitUntil(() -> newer.claims.ids().size() > 0);
+            long start = System.nanoTime();
+            assertTrue(isAccepted(newer, "read", Effect.IDEMPOTENT));
+            assertFalse(isAccepted(newer, "write", Effect.AT_MOST_ONCE));
+            assertTrue(System.nanoTime() - start < 1_000 * Clock.MS);
+            assertEquals(2, newer.counters.get(Counter.UPGRADE_WORDS_MISSED));
+            silent.close();
+        }
+    }
+
+    /** Guards against frames that the release before this one does not know: it would close the link. */
+    @Test
+    void anOlderVersionIsSentNoIds(@TempDir Path directory) throws Exception {
+        try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            server.bind(UnixDomainSocketAddress.of(directory.resolve("holdmux.sock")));
+            TestProcess newer = new TestProcess(directory, 1);
+            assertTrue(newer.upgrade.join());
+            SocketChannel olderVersion = server.accept();
+            olderVersion.write(Link.encode(new Frame(Kind.SYNCED, 0, 0, 0)).putInt(Integer.BYTES, 0));
+            newer.upgrade.awaitSynced();
+            assertTrue(isAccepted(newer, "write", Effect.AT_MOST_ONCE));
+            newer.upgrade.announceServing();
+            ByteBuffer frame = ByteBuffer.allocate(Link.FRAME_BYTES);
+            Kind last = null;
+            while (last != Kind.SERVING) {
+                frame.clear();
+                while (frame.hasRemaining()) {
+                    assertTrue(olderVersion.read(frame) >= 0);
+                }
+                last = Link.decode(frame.flip()).kind();
+                assertTrue(last == Kind.USAGE || last == Kind.SERVING, last.toString());
+            }
+            olderVersion.close();
+        }
+    }
+
     @Property(tries = 200, seed = "51")
     void rejectsUnknownFrameKinds(@ForAll @Size(Link.FRAME_BYTES) byte[] bytes) throws IOException {
         int kind = ByteBuffer.wrap(bytes).getInt();
