Queries that waited: look for the client's close behind further input too

Cause: a query of over 4 KiB may wait 0.3 s for a buffer. The look for a close behind it read once, and took any further input for a connected client; the close lies behind that input. An attempt could begin up to 0.3 s after the close, 0.1 s is allowed.

Change: the look reads on until nothing more has come, the input ends or the read-ahead is full. If it is full and the query has lain for over 80 ms, the query is dropped and refused. The wait for the other process's verdict on an id is treated alike, and counts in the query's delay.

Measured: QueryReaderTest.aQueryWhoseClientMayHaveLeftBehindFurtherInputIsDropped and aCloseBehindLittleInputIsFound fail without the change. Ruled out: queries that found a buffer at once; behind them all input is read and refused at full speed.

--- a/pooler/src/main/java/holdmux/pg/ClientCommand.java
+++ b/pooler/src/main/java/holdmux/pg/ClientCommand.java
@@ -30,6 +30,11 @@
         return new ClientCommand(Kind.INVALID, null, null, null, error, 0);
     }
 
+    /** The same command, having lain for this time more. */
+    ClientCommand delayedBy(long ns) {
+        return new ClientCommand(kind, text, statement, claim, error, delayNs + ns);
+    }
+
     /** Length of the text in bytes; 0 without one. */
     int length() {
         return text == null ? 0 : text.length;
--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -91,23 +91,30 @@
         return unreadNs;
     }
 
-    /** Checks without waiting for input whether the client has closed its side behind everything that was read. */
-    void checkNotClosed() throws IOException {
-        if (readPosition < readLimit) {
-            return;
-        }
-        readPosition = readLimit = 0;
+    /**
+     * Checks without waiting for input whether the client has closed its side behind everything that was read. Returns false if
+     * more input has come than can be looked through, so that the client may have closed its side behind it.
+     */
+    boolean checkNotClosed() throws IOException {
+        System.arraycopy(readAhead, readPosition, readAhead, 0, readLimit - readPosition);
+        readLimit -= readPosition;
+        readPosition = 0;
         socket.setSoTimeout(END_CHECK_MS);
         timeoutSet = true;
         try {
-            long startNs = clock.now();
-            int received = in.read(readAhead, 0, READ_AHEAD_BYTES);
-            if (!DeadlineInputStream.wasInterrupted(received)) {
-                readLimit = checkNotEnd(received);
-                noteReceived(startNs, received, READ_AHEAD_BYTES);
+            while (readLimit < READ_AHEAD_BYTES) {
+                int room = READ_AHEAD_BYTES - readLimit;
+                long startNs = clock.now();
+                int received = in.read(readAhead, readLimit, room);
+                if (!DeadlineInputStream.wasInterrupted(received)) {
+                    readLimit += checkNotEnd(received);
+                    noteReceived(startNs, received, room);
+                }
             }
+            return false;
         } catch (SocketTimeoutException e) {
-            // still connected
+            unreadNs = 0;
+            return true;
         }
     }
 
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -184,7 +184,7 @@
         switch (type) {
             case 'Q' -> {
                 if (canQueue()) {
-                    enqueue(context.parser().parse(queries.read(length)), false);
+                    enqueue(parse(queries.read(length)), false);
                 } else {
                     queries.skip(length);
                     enqueueRefusal();
@@ -201,6 +201,23 @@
         return true;
     }
 
+    /** Parses a query; one whose id took long to be confirmed is dropped if its client may have left meanwhile. */
+    private ClientCommand parse(QueryReader.Query query) throws IOException {
+        long startNs = context.clock().now();
+        ClientCommand command = context.parser().parse(query);
+        long waitedNs = context.clock().now() - startNs;
+        boolean forwarded = false;
+        try {
+            in.noteWait(waitedNs);
+            forwarded = queries.mayForward(waitedNs);
+        } finally {
+            if (!forwarded) {
+                command.release(context.buffers());
+            }
+        }
+        return forwarded ? command.delayedBy(waitedNs) : ClientCommand.invalid(READ_TOO_LATE);
+    }
+
     /** Whether another command can be queued. Once one is refused, all are until the queue is empty. */
     private synchronized boolean canQueue() {
         overloaded |= queue.size() >= MAX_QUEUED;
--- a/pooler/src/main/java/holdmux/pg/QueryReader.java
+++ b/pooler/src/main/java/holdmux/pg/QueryReader.java
@@ -24,11 +24,14 @@
     private static final long MAX_UNREAD_NS = 300 * Clock.MS;
     /** If a query may have lain unread for longer than this, its client may have closed the connection since, unnoticed. */
     private static final long MAX_UNNOTICED_CLOSE_NS = Clock.MS;
+    /** A query that may have lain unread for longer than this is dropped if its client's close may lie behind further input: no
+     * attempt may begin over 0.1 s after the close. */
+    private static final long MAX_DELAY_BEFORE_INPUT_NS = 80 * Clock.MS;
 
     /**
      * A query that was read to its end.
      *
-     * @param text the query, which the receiver has to release; null if no buffer was free for it in time
+     * @param text the query, which the receiver has to release; null if it was dropped because no buffer was free for it in time
      * @param delayNs how long its last byte may have lain unread, in nanoseconds
      */
     record Query(ChunkedText text, long delayNs) {}
@@ -52,8 +55,9 @@
         limitTime(length);
         ChunkedText text = length <= SHORT_QUERY_BYTES ? readShort(length) : readLong(length);
         long delayNs = in.unreadNs();
-        if (text != null && delayNs > MAX_UNNOTICED_CLOSE_NS) {
-            checkConnected(text);
+        if (text != null && !mayForward(text, delayNs)) {
+            text.release(buffers);
+            return new Query(null, delayNs);
         }
         return new Query(text, delayNs);
     }
@@ -118,12 +122,22 @@
         }
     }
 
-    private void checkConnected(ChunkedText text) throws IOException {
+    private boolean mayForward(ChunkedText text, long delayNs) throws IOException {
         try {
-            in.checkNotClosed();
+            return mayForward(delayNs);
         } catch (IOException e) {
             text.release(buffers);
             throw e;
         }
     }
+
+    /**
+     * Whether a query that may have lain unread for this time may be sent to a server; false if its client may have left too
+     * long ago.
+     *
+     * @throws IOException if the client has closed the connection
+     */
+    boolean mayForward(long delayNs) throws IOException {
+        return delayNs <= MAX_UNNOTICED_CLOSE_NS || in.checkNotClosed() || delayNs <= MAX_DELAY_BEFORE_INPUT_NS;
+    }
 }
--- a/pooler/src/test/java/holdmux/pg/QueryReaderTest.java
+++ b/pooler/src/test/java/holdmux/pg/QueryReaderTest.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -118,4 +119,47 @@
             assertInstanceOf(EOFException.class, e.getCause());
         }
     }
+
+    /** Guards against sending a query on after its client has closed the connection, with further input unread before the close. */
+    @Test
+    void aQueryWhoseClientMayHaveLeftBehindFurtherInputIsDropped() throws Exception {
+        client.getOutputStream().write(new byte[QUERY_BYTES + 2_000]);
+        client.close();
+        CompletableFuture<QueryReader.Query> reading = startReading();
+        Thread.sleep(150);
+        releaseAll();
+        assertNull(reading.get().text());
+    }
+
+    /** Little further input is looked through: the close behind it is found at once. */
+    @Test
+    void aCloseBehindLittleInputIsFound() throws Exception {
+        client.getOutputStream().write(new byte[QUERY_BYTES + 100]);
+        client.close();
+        CompletableFuture<QueryReader.Query> reading = startReading();
+        Thread.sleep(20);
+        releaseAll();
+        try {
+            assertNull(reading.get().text());
+        } catch (ExecutionException e) {
+            assertInstanceOf(EOFException.class, e.getCause());
+        }
+    }
+
+    /** Input behind a query that waited is kept, and read in order. */
+    @Test
+    void inputBehindAQueryThatWaitedIsKept() throws Exception {
+        client.getOutputStream().write(new byte[QUERY_BYTES]);
+        client.getOutputStream().write("behind".getBytes(StandardCharsets.US_ASCII));
+        CompletableFuture<QueryReader.Query> reading = startReading();
+        Thread.sleep(20);
+        releaseAll();
+        reading.get();
+        byte[] behind = new byte[6];
+        behind[0] = (byte) in.awaitFirstByte();
+        client.getOutputStream().write("!".getBytes(StandardCharsets.US_ASCII));
+        byte[] rest = new byte[6];
+        in.readFully(rest, rest.length);
+        assertEquals("behind!", (char) behind[0] + new String(rest, StandardCharsets.US_ASCII));
+    }
 }
