Long answers: a server's pause of up to 2 s is no end, whatever the request's deadline

Cause: the stall time-out was 1.5 s, and 0.5 s once the request's deadline was near or past.

Behind a whole row and its CommandComplete the wait for ReadyForQuery is that of short answers, 50 ms, after which the answer is served in place of failed.

A server that sends nothing more is still noticed: aStalledLongAnswerClosesTheClientConnectionInTime.

--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -23,10 +23,9 @@
  * can be checked for input without blocking; there is no selector.
  */
 final class ServerConnection implements Closeable, IdleConnections.Connection {
-    /** A server that sends no more of a long answer for this time is considered dead. */
-    private static final long STALL_TIMEOUT_NS = 1_500 * Clock.MS;
-    /** Near the request's deadline the stall time-out is shorter: the client must see the failure within 0.5 s of the deadline. */
-    private static final long LATE_GRACE_NS = 400 * Clock.MS, MIN_STALL_TIMEOUT_NS = 500 * Clock.MS;
+    /** A server that sends no more of a long answer for this time is considered dead. Servers may pause for 2 s within an
+     * answer whose first bytes were in time, whatever the request's deadline. */
+    private static final long STALL_TIMEOUT_NS = 2_500 * Clock.MS;
 
     /** Servers send the messages behind a result or an error in the same write; if they are late by this, they never come. */
     private static final long TRAILER_TIMEOUT_NS = 50 * Clock.MS;
@@ -151,21 +150,26 @@
      * Streams the rest of an answer whose long row has begun, or of its value alone, through the answer's buffer.
      *
      * @param withMessages whether to write the complete messages or only the value
-     * @param deadlineNs the request's deadline on the {@link Clock}
      */
-    void relay(Answer answer, OutputStream out, boolean withMessages, Deadlines deadlines, long deadlineNs)
+    void relay(Answer answer, OutputStream out, boolean withMessages, Deadlines deadlines)
             throws IOException, ProtocolException {
         long remaining = answer.remainingRowBytes();
         ByteBuffer in = ByteBuffer.wrap(answer.buffer).position(answer.writeBuffered(out, withMessages));
         while (remaining > 0) {
-            read(in.clear().limit((int) Math.min(remaining, in.capacity())), deadlines, deadlineNs);
+            read(in.clear().limit((int) Math.min(remaining, in.capacity())), deadlines, STALL_TIMEOUT_NS);
             remaining -= in.position();
             out.write(answer.buffer, 0, in.position());
             in.position(0);
         }
         in.limit(in.capacity());
-        while (!answer.parse(in.position())) {
-            read(in, deadlines, deadlineNs);
+        try {
+            while (!answer.parse(in.position())) {
+                read(in, deadlines, answer.isServed() ? TRAILER_TIMEOUT_NS : STALL_TIMEOUT_NS);
+            }
+        } catch (IOException e) {
+            if (!answer.isServed()) {
+                throw e; // behind a served row the answer is valid nevertheless
+            }
         }
         if (!answer.isServed()) {
             throw new IOException("the server ended a long answer early");
@@ -175,11 +179,9 @@
         }
     }
 
-    /** Reads more of a streamed answer. There is no limit on its total time, only on a stall, which is shorter near the deadline. */
-    private void read(ByteBuffer in, Deadlines deadlines, long deadlineNs) throws IOException {
-        long remainingNs = deadlineNs + LATE_GRACE_NS - deadlines.now();
-        Deadlines.Deadline stallDeadline = deadlines.after(
-                Math.max(MIN_STALL_TIMEOUT_NS, Math.min(STALL_TIMEOUT_NS, remainingNs)), this::close);
+    /** Reads more of a streamed answer. There is no limit on its total time, only on a stall. */
+    private void read(ByteBuffer in, Deadlines deadlines, long stallTimeoutNs) throws IOException {
+        Deadlines.Deadline stallDeadline = deadlines.after(stallTimeoutNs, this::close);
         try {
             if (channel.read(in) <= 0) {
                 throw new EOFException("the server closed the connection during a long answer");
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -41,10 +41,7 @@
     private final ServerSlots slots;
     private final IdleConnections<ServerConnection> idle;
     /** Connections of long answers that are still to be streamed. */
-    private final Map<Answer, OpenStream> openStreams = new ConcurrentHashMap<>();
-
-    /** A connection in the middle of a long answer, and the attempt's deadline. */
-    private record OpenStream(ServerConnection connection, long deadlineNs) {}
+    private final Map<Answer, ServerConnection> openStreams = new ConcurrentHashMap<>();
 
     ServerPool(ServerRegistry registry, Clock clock, Deadlines deadlines, Counters counters, BufferPool buffers,
             Supplier<Deployment> deployment, ServerSlots slots) {
@@ -104,7 +101,7 @@
             }
             streaming = answer.isStreaming();
             if (streaming) {
-                openStreams.put(answer, new OpenStream(connection, attempt.startedAt + attempt.timeoutNs));
+                openStreams.put(answer, connection);
             }
             return toReply.apply(answer);
         } catch (BufferPool.ExhaustedException e) {
@@ -125,15 +122,15 @@
      * @throws IOException if it could not be forwarded completely; the client then has to see that it is incomplete
      */
     void relay(Answer answer, OutputStream out, boolean withMessages) throws IOException {
-        OpenStream stream = openStreams.remove(answer);
+        ServerConnection connection = openStreams.remove(answer);
         boolean reusable = false;
         try {
-            stream.connection().relay(answer, out, withMessages, deadlines, stream.deadlineNs());
+            connection.relay(answer, out, withMessages, deadlines);
             reusable = answer.endedCleanly();
         } catch (ProtocolException e) {
             throw new IOException("a long answer violated the protocol", e);
         } finally {
-            releaseConnection(stream.connection(), reusable);
+            releaseConnection(connection, reusable);
         }
     }
 
@@ -186,9 +183,9 @@
 
     /** Releases the buffer of an answer from {@link #exchange}, and closes its connection if it was not streamed to its end. */
     void releaseAnswer(Answer answer) {
-        OpenStream stream = openStreams.remove(answer);
-        if (stream != null) {
-            idle.discard(stream.connection());
+        ServerConnection connection = openStreams.remove(answer);
+        if (connection != null) {
+            idle.discard(connection);
         }
         buffers.release(answer.buffer);
     }
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -33,6 +33,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
@@ -44,6 +45,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -482,6 +484,44 @@
         assertTrue(System.nanoTime() - start < 4_500 * Clock.MS, "closed only after 4.5 s of silence");
     }
 
+    /**
+     * A server pauses within a long answer, also past the request's deadline. Guards against cutting off what the server still gives,
+     * for classes with and without worth when late.
+     */
+    @ParameterizedTest
+    @CsvSource({"my-quotes, 600", "my-quotes, 1000", "my-quotes, 1800", "save-quote, 1000", "save-quote, 1800"})
+    void aLongAnswerWithPausesIsServedWhole(String className, long pauseMs) throws Exception {
+        byte[] answer = longRow(300_000);
+        pieces = new byte[][] {Arrays.copyOf(answer, 70_000), Arrays.copyOfRange(answer, 70_000, 200_000),
+            Arrays.copyOfRange(answer, 200_000, answer.length)};
+        String id = "p" + LAST_ID.incrementAndGet();
+        String text = className.equals("save-quote") ? WRITE : read(id, "7f", className);
+        CompletableFuture<String> types = new CompletableFuture<>();
+        Workers.newThread("asking", () -> {
+            try {
+                types.complete(ask(text.replace("d=3000", "d=700")));
+            } catch (IOException e) {
+                types.completeExceptionally(e);
+            }
+        }).start();
+        for (int i = 0; i < pieces.length; i++) {
+            nextPiece.release();
+            sleep(i < pieces.length - 1 ? pauseMs : 0);
+        }
+        assertEquals("hello TDCZ", types.get());
+    }
+
+    /** Behind the row and CommandComplete of a long answer a server that sends nothing more costs its client no time. */
+    @Test
+    void aLongAnswerWithoutReadyForQueryIsServed() throws Exception {
+        byte[] answer = longRow(300_000);
+        pieces = new byte[][] {Arrays.copyOf(answer, answer.length - 6), new byte[0]};
+        nextPiece.release();
+        long start = System.nanoTime();
+        assertEquals("hello TDCZ", ask(WRITE));
+        assertTrue(System.nanoTime() - start < 1_500 * Clock.MS);
+    }
+
     /** Guards against the cap being filled by clients that send nothing or keep connections they no longer use. */
     @Test
     void idleClientsMakeRoomForNewOnes() throws Exception {
