Caps: count the stacks of threads as they are on arm64

Cause: the caps took 64 KB for a thread, as measured on x86-64. On arm64 it is 107 KB (392 threads, 41.9 MB by native memory tracking) to 116 KB (300 threads that block in a read), most of it the shadow zone of 20 pages, which cannot be made smaller there. Ruled out: buffers (heap 40 MB committed of 64), heads of many fields, the C heap (9.9 MB).

Change: Footprint holds the figures of each architecture; those of x86-64 are as before. On arm64 at 128 MB 151 clients are accepted in place of 312; others are turned away at once, as at any cap.

ConfigTest checks that the shares add up to the limit on both.

--- a/pooler/src/main/java/holdmux/config/Config.java
+++ b/pooler/src/main/java/holdmux/config/Config.java
@@ -63,7 +63,7 @@
 
     /** The caps that follow from the limits. */
     public Caps caps() {
-        return Caps.of(sockets, memoryMb);
+        return Caps.of(sockets, memoryMb, Footprint.of(System.getProperty("os.arch")));
     }
 
     /** Whether the other configuration differs in addresses or limits that are read only at start-up. */
--- a/pooler/src/test/java/holdmux/config/ConfigTest.java
+++ b/pooler/src/test/java/holdmux/config/ConfigTest.java
@@ -151,16 +151,21 @@
     /** The caps follow from the configured limits, not from those of the machine, and leave spare descriptors and memory. */
     @Test
     void capsFollowTheLimits() {
-        for (int[] limit : new int[][] {{256, 128}, {384, 144}, {1_024, 192}, {1_024, 96}}) {
-            Caps caps = Caps.of(limit[0], limit[1]);
-            assertTrue(caps.clients() + caps.servers() <= limit[0] * 9 / 10);
-            assertTrue(caps.workers() > caps.clients());
-            assertTrue(caps.workers() - caps.clients() <= Math.max(40, caps.servers()), "more threads for probes than connections");
-            assertTrue(64 + 25 + caps.clients() / 8 <= limit[1], caps.toString());
+        for (Footprint footprint : List.of(Footprint.X86_64, Footprint.ARM64)) {
+            for (int[] limit : new int[][] {{256, 128}, {384, 144}, {1_024, 128}, {1_024, 192}, {1_024, 96}}) {
+                Caps caps = Caps.of(limit[0], limit[1], footprint);
+                assertTrue(caps.clients() + caps.servers() <= limit[0] * 9 / 10);
+                assertTrue(caps.workers() > caps.clients());
+                assertTrue(caps.workers() - caps.clients() <= Math.max(40, caps.servers()), "more threads for probes than connections");
+                int clientsMb = caps.clients() * 2 * footprint.kbPerThread() / 1_024;
+                assertTrue(caps.clients() == 32 || footprint.jvmMb() + clientsMb <= limit[1], caps.toString());
+            }
         }
-        assertEquals(128, Caps.of(256, 128).clients());
-        assertEquals(32, Caps.of(256, 32).clients());
-        Caps largest = Caps.of(1_024, 192);
+        assertEquals(128, Caps.of(256, 128, Footprint.X86_64).clients());
+        assertEquals(32, Caps.of(256, 32, Footprint.X86_64).clients());
+        assertEquals(312, Caps.of(1_024, 128, Footprint.X86_64).clients());
+        assertEquals(151, Caps.of(1_024, 128, Footprint.ARM64).clients(), "two threads of a client take 236 KB there");
+        Caps largest = Caps.of(1_024, 192, Footprint.X86_64);
         assertEquals(358, largest.servers());
         assertEquals(358, largest.workers() - largest.clients(), "one thread for probes for each server connection");
     }
