--- a/app/src/main/java/holdmux/app/demo/PgClient.java
+++ b/app/src/main/java/holdmux/app/demo/PgClient.java
@@ -65,6 +65,11 @@
      */
     public String query(String sql, Map<String, String> rows) throws IOException {
         send(sql);
+        return receive(rows);
+    }
+
+    /** Waits for the answer to a query that was sent; see {@link #query}. */
+    public String receive(Map<String, String> rows) throws IOException {
         return readResponse(rows);
     }
 
--- a/app/src/main/java/holdmux/app/soak/SoakClient.java
+++ b/app/src/main/java/holdmux/app/soak/SoakClient.java
@@ -31,7 +31,8 @@
         }
     }
 
-    private static final int PAUSE_MS = 25, MIN_WAIT_MS = 300, ABANDONED_ONE_IN = 15, FAULTY_ONE_IN = 20, ANSWER_GRACE_MS = 1_500;
+    private static final int PAUSE_MS = 25, MIN_WAIT_MS = 300, ABANDONED_ONE_IN = 15, FAULTY_ONE_IN = 20, COPIED_ONE_IN = 10,
+            ANSWER_GRACE_MS = 1_500, COPY_TIMEOUT_MS = 200;
 
     private final SoakPooler pooler;
     private final String name;
@@ -141,8 +142,17 @@
         long answered = 0;
         boolean excused = false;
         try {
-            String sqlState = connection.query(sql(kind, id, waitMs), rows);
+            connection.send(sql(kind, id, waitMs));
+            boolean copyServed = false;
+            if (random.nextInt(COPIED_ONE_IN) == 0) {
+                uncertain.add(id); // if the request is refused, its copy may run
+                copyServed = isCopyServed(kind, id, waitMs);
+            }
+            String sqlState = connection.receive(rows);
             answered = System.nanoTime();
+            if (copyServed && sqlState.isEmpty()) {
+                audit.reportViolation("copy: " + id + " was served twice");
+            }
             connectionReused = true;
             if (write) {
                 recordWriteResult(id, sqlState);
@@ -162,6 +172,15 @@
         audit.recordRequest(new Asked(id, pooler.name, write, sent, waitMs * 1_000_000L, answered, 0, excused));
     }
 
+    /** Sends the id of a request that is open once more, over a connection of its own; returns whether the copy is served. */
+    private boolean isCopyServed(Kind kind, String id, int waitMs) {
+        try (PgClient other = new PgClient(pooler.port(), COPY_TIMEOUT_MS)) {
+            return other.query(sql(kind, id, waitMs), new HashMap<>()).isEmpty();
+        } catch (IOException e) {
+            return false; // the pooler is restarting or crowded
+        }
+    }
+
     /**
      * Returns whether a close without an answer is accepted: the pooler was killed, or it closed an idle connection while the
      * request was in flight.
