--- a/app/src/main/java/holdmux/app/soak/SoakPooler.java
+++ b/app/src/main/java/holdmux/app/soak/SoakPooler.java
@@ -15,6 +15,8 @@
 final class SoakPooler implements AutoCloseable {
     private static final int MAX_STATS_RETRIES = 50;
     private static final long STATS_RETRY_DELAY_MS = 100;
+    /** No SIGHUP is sent before a process listens, nor in its first second: it may not handle the signal yet. */
+    private static final long MIN_AGE_AT_RELOAD_MS = 1_000;
 
     final String name;
     private final PoolerProcess process;
@@ -25,6 +27,9 @@
     private final DiscoveryAgent agent;
     private final FaultRelay[] discoveryRelays = new FaultRelay[2];
     private int activeRelay;
+    /** Held while the process starts, so that it is not reloaded meanwhile. */
+    private final Object startLock = new Object();
+    private long startedAtNs;
     private volatile int incarnation;
     private volatile int kills;
     private volatile boolean killed, terminating, crowded;
@@ -92,8 +97,11 @@
 
     /** Starts the process and waits until it listens. */
     void start() throws IOException, InterruptedException {
-        process.start();
-        process.awaitListening();
+        synchronized (startLock) {
+            startedAtNs = System.nanoTime();
+            process.start();
+            process.awaitListening();
+        }
         incarnation++;
         killed = false;
         terminating = false;
@@ -132,8 +140,12 @@
     /** Writes a configuration that names the other relay and sends SIGHUP. */
     synchronized void reloadWithOtherRelay() throws IOException, InterruptedException {
         discoveryRelays[1 - activeRelay].setMode(FaultRelay.Mode.PASS);
-        process.configure(selectRelay(1 - activeRelay));
-        process.signal("HUP");
+        synchronized (startLock) {
+            long ageMs = (System.nanoTime() - startedAtNs) / 1_000_000;
+            Thread.sleep(Math.max(0, MIN_AGE_AT_RELOAD_MS - ageMs));
+            process.configure(selectRelay(1 - activeRelay));
+            process.signal("HUP");
+        }
     }
 
     /** Reads the counters by {@code SHOW STATS}, with retries while connections fail. */
