Request ids: room for 1,600 requests a second that may not be repeated; no class in the log

By reading: settings may give any class another effect. With all classes at most once, 320 requests a second kept for 30 s are 9,600 ids, over the 8,192 at which new ones were refused. Now 20 s and 32,768, and 16,384 of requests that may be repeated, deduplicated ones included, as servers drop their repeats. While all requests are refused, a copy's class is not checked and may be any text, so the log line names the id alone.

--- a/pooler/src/main/java/holdmux/core/IdClaims.java
+++ b/pooler/src/main/java/holdmux/core/IdClaims.java
@@ -65,7 +65,7 @@
      */
     public Claim claim(Statement statement, Effect effect) throws StatementException {
         RequestId id = RequestId.of(statement.id);
-        boolean repeatable = effect == Effect.IDEMPOTENT;
+        boolean repeatable = effect != Effect.AT_MOST_ONCE;
         Verdict verdict = ids.claim(id, repeatable, clock.now());
         if (verdict == Verdict.GRANTED) {
             verdict = confirmWithPeer(id, repeatable);
@@ -95,7 +95,7 @@
     private StatementException copied(Statement statement) {
         counters.count(Counter.IDS_REUSED);
         if (counters.get(Counter.IDS_REUSED) % COPIES_PER_LOG_LINE == 1) {
-            Log.warn("a request of class " + statement.className + " has the id " + statement.id + " of another request");
+            Log.warn("a request has the id " + statement.id + " of another request");
         }
         return new StatementException(SqlState.INVALID_PARAMETER_VALUE, "another request has this id");
     }
--- a/pooler/src/main/java/holdmux/core/RequestIds.java
+++ b/pooler/src/main/java/holdmux/core/RequestIds.java
@@ -13,9 +13,9 @@
  */
 public final class RequestIds {
     /** How long an id is kept after its request has ended: a server may still run an attempt that was given up. */
-    static final long RETENTION_NS = 10_000 * Clock.MS, UNREPEATABLE_RETENTION_NS = 30_000 * Clock.MS;
-    /** Most ids kept of requests that have ended, for each of the two kinds. */
-    static final int MAX_RETAINED = 8_192;
+    static final long RETENTION_NS = 10_000 * Clock.MS, UNREPEATABLE_RETENTION_NS = 20_000 * Clock.MS;
+    /** Most ids kept of requests that have ended: those of some 1,600 requests a second that may be repeated, and as many others. */
+    static final int MAX_RETAINED = 16_384, MAX_UNREPEATABLE_RETAINED = 32_768;
 
     /** Whether a request may use its id. */
     public enum Verdict {
@@ -54,7 +54,7 @@
         dropExpired(unrepeatableRetained, now);
         if (entries.containsKey(id)) {
             return Verdict.IN_USE;
-        } else if (!repeatable && unrepeatableRetained.size() >= MAX_RETAINED) {
+        } else if (!repeatable && unrepeatableRetained.size() >= MAX_UNREPEATABLE_RETAINED) {
             return Verdict.FULL;
         }
         entries.put(id, new Entry(id, repeatable));
--- a/pooler/src/test/java/holdmux/core/RequestIdsTest.java
+++ b/pooler/src/test/java/holdmux/core/RequestIdsTest.java
@@ -43,7 +43,7 @@
         assertEquals(RequestIds.MAX_RETAINED + 1, ids.size());
         assertEquals(Verdict.IN_USE, ids.claim(id(-1), false, 200_000));
         assertEquals(Verdict.IN_USE, ids.claim(id(199_999), true, 200_000), "the oldest are dropped first");
-        for (int i = 0; i < RequestIds.MAX_RETAINED - 1; i++) {
+        for (int i = 0; i < RequestIds.MAX_UNREPEATABLE_RETAINED - 1; i++) {
             ids.claim(id(1_000_000 + i), false, 200_000);
             ids.retain(id(1_000_000 + i), 200_000);
         }
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -11,6 +11,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.IdClaims;
 import holdmux.core.OtherProcess;
+import holdmux.core.RequestId;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.Effect;
 import holdmux.decision.SplitterApi.LastWrite;
@@ -161,7 +162,11 @@
 
     private static void awaitSharedIds(TestProcess older, TestProcess newer) throws InterruptedException {
         isAccepted(older, "shared", Effect.IDEMPOTENT);
-        waitUntil(() -> newer.claims.ids().size() > 0);
+        awaitKnown(newer, "shared");
+    }
+
+    private static void awaitKnown(TestProcess process, String id) throws InterruptedException {
+        waitUntil(() -> process.claims.ids().snapshot().stream().anyMatch(known -> known.id().equals(RequestId.of(id))));
     }
 
     /** Guards against a copy that reaches the other process: the request was served twice, and a write ran twice. */
@@ -206,6 +211,8 @@
         assertTrue(isAccepted(older, "during", Effect.AT_MOST_ONCE));
         IdClaims.Claim unused = older.claims.claim(statement("unused"), Effect.AT_MOST_ONCE);
         unused.end(false);
+        assertTrue(isAccepted(older, "told-behind-it", Effect.AT_MOST_ONCE));
+        awaitKnown(newer, "told-behind-it");
         assertTrue(isAccepted(newer, "unused", Effect.AT_MOST_ONCE), "no request with this id ran");
         older.upgrade.disconnect();
         waitUntil(() -> !newer.otherProcess.present());
