--- a/pooler/src/main/java/holdmux/statement/ProtocolForm.java
+++ b/pooler/src/main/java/holdmux/statement/ProtocolForm.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.regex.Pattern;
 
 /**
  * Checks that a statement has one of the two forms that clients of the PostgreSQL protocol send, apart from its comment:
@@ -15,12 +14,10 @@
  * Keywords may have any case, and white space may stand between words. Servers void anything else, so it is never sent.
  */
 final class ProtocolForm {
-    /** What stands before the first literal, between the literals, and behind the last one. */
-    private static final List<Pattern> SELECT = List.of(words("SELECT _data _FROM _facts _WHERE _code = "), words(" "));
-    private static final List<Pattern> INSERT = List.of(
-            words("INSERT _INTO _facts \\( code , data \\) VALUES \\( "), words(" , "), words(" \\) RETURNING _data "));
-    /** Longest text accepted between two literals: white space is short. */
-    private static final int MAX_GAP_BYTES = 1_024;
+    /** What stands before the first literal, between the literals, and behind the last one; see {@link #matches}. */
+    private static final List<String> SELECT = List.of("select_data_from_facts_where_code = ", " ");
+    private static final List<String> INSERT =
+            List.of("insert_into_facts ( code , data ) values ( ", " , ", " ) returning_data ");
     private static final int MAX_HEX_DIGIT = 'f';
     private static final boolean[] IS_HEX_DIGIT = new boolean[MAX_HEX_DIGIT + 1];
 
@@ -31,7 +28,7 @@
     }
 
     private final ChunkedText text;
-    private final List<Pattern> gaps;
+    private final List<String> gaps;
     private final boolean write;
     private int literals, gapStart;
 
@@ -41,11 +38,6 @@
         gaps = write ? INSERT : SELECT;
     }
 
-    /** A pattern in which a space stands for optional white space and {@code " _"} for required white space. */
-    private static Pattern words(String form) {
-        return Pattern.compile(form.replace(" _", "[ \t\r\n]+").replace(" ", "[ \t\r\n]*"), Pattern.CASE_INSENSITIVE);
-    }
-
     /** Checks the next literal, whose quotes are at these indices, and what stands before it. */
     void checkLiteral(int openingQuote, int closingQuote) throws StatementException {
         checkGap(openingQuote);
@@ -65,13 +57,40 @@
     }
 
     private void checkGap(int end) throws StatementException {
-        boolean valid = literals < gaps.size() && end - gapStart <= MAX_GAP_BYTES
-                && gaps.get(literals).matcher(text.substring(gapStart, end)).matches();
-        if (!valid) {
+        if (literals >= gaps.size() || !matches(end, gaps.get(literals))) {
             throw malformed();
         }
     }
 
+    /**
+     * Whether the text from the last literal to an index has this form, in which a space stands for optional white space, an
+     * underscore for required white space, and a letter for itself in any case.
+     */
+    private boolean matches(int end, String form) {
+        int at = gapStart;
+        for (int i = 0; i < form.length(); i++) {
+            char expected = form.charAt(i);
+            if (expected == ' ' || expected == '_') {
+                int start = at;
+                while (at < end && isSpace(text.byteAt(at))) {
+                    at++;
+                }
+                if (expected == '_' && at == start) {
+                    return false;
+                }
+            } else if (at == end || Character.toLowerCase(text.byteAt(at)) != expected) {
+                return false;
+            } else {
+                at++;
+            }
+        }
+        return at == end;
+    }
+
+    private static boolean isSpace(byte character) {
+        return character == ' ' || character == '\t' || character == '\r' || character == '\n';
+    }
+
     private void checkHexadecimal(int from, int to) throws StatementException {
         boolean valid = to - from >= 2 && (to - from) % 2 == 0 && text.byteAt(from) == '\\' && text.byteAt(from + 1) == 'x';
         if (!valid) {
--- a/pooler/src/main/java/holdmux/statement/Statement.java
+++ b/pooler/src/main/java/holdmux/statement/Statement.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Pattern;
 
 /**
  * An SQL statement with the request's parameters as name=value pairs in its trailing comment. It is forwarded to servers
@@ -19,11 +18,12 @@
     private static final int MAX_KEY_BYTES = 64 * 1024;
     /** Longest comment accepted: its few short values fit many times over. */
     private static final int MAX_COMMENT_BYTES = 1_024;
-    /** What an id may look like; the longest ones in use are those of trace contexts, with 55 characters. */
-    private static final Pattern ID = Pattern.compile("[A-Za-z0-9._:+/@~-]{1,128}");
-    private static final Pattern ATTRIBUTE_NAME = Pattern.compile("[A-Za-z_][A-Za-z0-9_]*");
-    /** Decimal digits with no sign and no leading zero. */
-    private static final Pattern NUMBER = Pattern.compile("0|[1-9][0-9]{0,18}");
+    /** Longest id accepted; the longest ones in use are those of trace contexts, with 55 characters. */
+    private static final int MAX_ID_LENGTH = 128;
+    /** Characters of an id besides letters and digits. */
+    private static final String ID_PUNCTUATION = "._:+/@~-";
+    /** Most digits of a number: one more would not always fit. */
+    private static final int MAX_DIGITS = 18;
 
     /** Longest statement accepted: the longest literal, the longest key, and the rest of the text with its comment. */
     public static final int MAX_BYTES = MAX_LITERAL_BYTES + MAX_KEY_BYTES + 2 * MAX_COMMENT_BYTES;
@@ -56,7 +56,7 @@
         this.timeoutFrom = timeoutFrom;
         this.timeoutTo = timeoutTo;
         id = required(values, "id");
-        if (!ID.matcher(id).matches()) {
+        if (id.length() > MAX_ID_LENGTH || !consistsOf(id, ID_PUNCTUATION)) {
             throw new StatementException(SqlState.INVALID_PARAMETER_VALUE, "the comment's id is not a valid id");
         }
         className = required(values, "c");
@@ -150,7 +150,7 @@
             }
             String name = comment.substring(at, equals).strip();
             String value = comment.substring(equals + 1, end).strip();
-            if (!ATTRIBUTE_NAME.matcher(name).matches()) {
+            if (name.isEmpty() || !consistsOf(name, "_")) {
                 throw new StatementException(SqlState.SYNTAX_ERROR, "the comment contains an invalid attribute name");
             }
             if (values.put(name, value) != null) {
@@ -187,18 +187,43 @@
         return value;
     }
 
+    /** Whether a text consists of ASCII letters, digits and these characters. */
+    private static boolean consistsOf(String text, String others) {
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            boolean letterOrDigit = character >= 'a' && character <= 'z' || character >= 'A' && character <= 'Z' || isDigit(character);
+            if (!letterOrDigit && others.indexOf(character) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
+    }
+
+    /** Whether a text is a decimal number with no sign and no leading zero. */
+    private static boolean isNumber(String text) {
+        if (text.length() > MAX_DIGITS || text.length() > 1 && text.charAt(0) == '0') {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (!isDigit(text.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static long parseNumber(Map<String, String> values, String name, long min, long max)
             throws StatementException {
         String text = required(values, name);
-        try {
-            if (NUMBER.matcher(text).matches()) {
-                long value = Long.parseLong(text);
-                if (value >= min && value <= max) {
-                    return value;
-                }
+        if (isNumber(text)) {
+            long value = Long.parseLong(text);
+            if (value >= min && value <= max) {
+                return value;
             }
-        } catch (NumberFormatException e) {
-            // out of range, reported below
         }
         throw new StatementException(SqlState.INVALID_PARAMETER_VALUE, "the comment's " + name + " is not a valid number");
     }
