--- a/app/src/test/java/holdmux/app/drill/PolicyCommandsTest.java
+++ b/app/src/test/java/holdmux/app/drill/PolicyCommandsTest.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,8 @@
 /** The policy and store commands against member and follower processes. */
 @Timeout(200)
 class PolicyCommandsTest {
+    private static final AtomicInteger LAST_ID = new AtomicInteger();
+
     private static final long BOUND_MS = 10_000;
 
     @TempDir
@@ -85,8 +88,8 @@
 
     private static String read(PoolerProcess pooler) throws IOException {
         try (PgClient client = pooler.connect()) {
-            return client.query("SELECT data FROM facts WHERE code = 'k1' /* id=r1,c=rate-lookup,d=1000,cluster=1 */",
-                    new HashMap<>());
+            return client.query("SELECT data FROM facts WHERE code = 'k1' /* id=r" + LAST_ID.incrementAndGet()
+                    + ",c=rate-lookup,d=1000,cluster=1 */", new HashMap<>());
         }
     }
 
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -29,6 +29,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -165,6 +166,14 @@
         awaitKnown(newer, "shared");
     }
 
+    private static boolean isOtherFile(Path path, Object fileKey) {
+        try {
+            return !Files.readAttributes(path, BasicFileAttributes.class).fileKey().equals(fileKey);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private static void awaitKnown(TestProcess process, String id) throws InterruptedException {
         waitUntil(() -> process.claims.ids().snapshot().stream().anyMatch(known -> known.id().equals(RequestId.of(id))));
     }
@@ -214,8 +223,11 @@
         assertTrue(isAccepted(older, "told-behind-it", Effect.AT_MOST_ONCE));
         awaitKnown(newer, "told-behind-it");
         assertTrue(isAccepted(newer, "unused", Effect.AT_MOST_ONCE), "no request with this id ran");
+        Path socket = directory.resolve("holdmux.sock");
+        Object olderSocket = Files.readAttributes(socket, BasicFileAttributes.class).fileKey();
         older.upgrade.disconnect();
         waitUntil(() -> !newer.otherProcess.present());
+        waitUntil(() -> isOtherFile(socket, olderSocket)); // the newer process listens now
         assertFalse(isAccepted(newer, "before", Effect.AT_MOST_ONCE));
         assertFalse(isAccepted(newer, "during", Effect.AT_MOST_ONCE));
         assertTrue(isAccepted(newer, "after", Effect.AT_MOST_ONCE));
@@ -236,7 +248,7 @@
             assertFalse(isAccepted(newer, "write", Effect.AT_MOST_ONCE));
             assertTrue(System.nanoTime() - start < 1_000 * Clock.MS);
             assertEquals(2, newer.counters.get(Counter.UPGRADE_WORDS_MISSED));
-            silent.close();
+            // the link stays open: once it is closed, the newer process would listen in the folder that is being deleted
         }
     }
 
@@ -262,7 +274,7 @@
                 last = Link.decode(frame.flip()).kind();
                 assertTrue(last == Kind.USAGE || last == Kind.SERVING, last.toString());
             }
-            olderVersion.close();
+            // the link stays open, as above
         }
     }
 
