--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -39,9 +39,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that the system gives to connections, so that none of these takes it meanwhile."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass  # in use
 
 
 def new_id():
