--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -38,10 +38,16 @@
         print(text, flush=True)
 
 
+GIVEN = set()
+
+
 def free_port():
     """A free port below those that the system gives to connections, so that none of these takes it meanwhile."""
     while True:
         port = random.randrange(15_000, 32_000)
+        if port in GIVEN:
+            continue
+        GIVEN.add(port)
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
@@ -50,6 +56,15 @@
                 pass  # in use
 
 
+async def listen(serve, port, **options):
+    """Listens at this port or, if another program has taken it, at another one; returns the server and its port."""
+    while True:
+        try:
+            return await asyncio.start_server(serve, "127.0.0.1", port, **options), port
+        except OSError:
+            port = free_port()
+
+
 def new_id():
     return f"{random.getrandbits(64):016x}"
 
@@ -151,7 +166,7 @@
         self.port = free_port()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server, self.port = await listen(self.serve, self.port)
 
     def put(self, host, **fields):
         self.seq += 1
@@ -232,7 +247,7 @@
         return f"127.0.0.1:{self.port}"
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, backlog=512)
+        self.server, self.port = await listen(self.serve, self.port, backlog=512)
 
     def crash(self):
         """The process dies: its connections are reset, new ones are refused."""
