--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,125 +1,79 @@
-"""A primary dies while replicas lag, another member takes over, and a new version of the pooler starts."""
+"""Clients read long values slowly and send their next command meanwhile, while operators send the clients away."""
 import asyncio
 import pathlib
-import random
-import signal
+import socket
+import struct
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
-from rig import TROUBLE, Agent, CannotRun, Client, Pooler, QuoteServer, Store, insert, main, new_id, select
+from rig import READY, TROUBLE, Agent, CannotRun, Pooler, QuoteServer, Store, cstr, main, message, new_id, select
 
-DEAD, TAKEN_OVER, ROLE_LATE = 1.5, 4.0, 4.9  # seconds: down; from the death to the new primary; from that to the list's word
-KNOWN_AFTER = 0.15  # an answer counts as known 0.1 s after it was written, and every time limit is 0.05 s longer
-KEYS = [f"buyer{i:02d}{new_id()}" for i in range(4)]
+LONG = 4 * 1024 * 1024  # bytes of a value
+RATE = 1_500_000  # bytes a second that a client reads, in pieces
+PIECES = 0.02  # seconds between two pieces
+CLIENTS = 8
+NEXT_COMMAND = [0.9 + 0.2 * i for i in range(CLIENTS)]  # seconds after the first command
 
 
 async def case(record, folder, poolers):
     store, agent = Store(), Agent()
-    told = []  # when s-2, the first primary, has told the pooler that it is a standby
-
-    class Member(QuoteServer):
-        def told(self, writer, what):
-            if self is first and not self.primary and not writer.is_closing():
-                told.append(time.time())
-                if len(told) == 1:
-                    record(f"{self.name} tells the pooler that it is a standby: {what}")
-
-    servers = [Member(f"s-{i}", store, record, primary=i == 2) for i in range(5)]
-    first, second = servers[2], servers[3]
+    servers = [QuoteServer(f"s-{i}", store, record, primary=i == 0) for i in range(5)]
     for server in servers:
         await server.start()
         agent.put(server.name, dial=server.dial, replication="primary" if server.primary else "standby")
+    store.commits.append((0, "long", b"v" * LONG))
     await agent.start()
     pooler = Pooler(agent, record, folder)
     poolers.append(pooler)
-    old = await pooler.spawn()
-    await pooler.until_ready(old)
-
-    stop = asyncio.Event()
-    stale, excused = [], []
-    counts = {"served": 0, "refused or failed": 0, "turned back": 0}
-    acknowledged, written, busy = {}, {}, set()
+    process = await pooler.spawn()
+    await pooler.until_ready(process)
+    whole, cut = [], []
 
-    async def ask(sql, what):
-        try:
-            client = await Client.connect(pooler.port)
-        except (OSError, EOFError):
-            counts["turned back"] += 1
-            return "none", None
-        try:
-            state, value = await client.ask(sql)
-            record(f"client: {what} answered {state or value.decode()}")
-            counts["served" if state is None else "refused or failed"] += 1
-            return state, value
-        except (OSError, EOFError):
-            counts["turned back"] += 1
-            return "none", None
-        finally:
-            client.close()
+    def client(number):
+        with socket.create_connection(("127.0.0.1", pooler.port), timeout=10) as connection:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            body = struct.pack(">I", 196_608) + cstr("user") + cstr("portal") + cstr("database") + cstr("crm") + b"\0"
+            connection.sendall(struct.pack(">I", len(body) + 4) + body)
+            greeting = b""
+            while not greeting.endswith(READY):
+                greeting += connection.recv(4096)
+            first, second, started = new_id(), new_id(), time.time()
+            connection.sendall(message("Q", cstr(select("long", "history", 1500, first))))
+            record(f"client {number}: sent history {first}, a value of {LONG} bytes")
+            received, next_sent = bytearray(), False
+            try:
+                # the first answer is whole with its ReadyForQuery behind the value
+                while len(received) <= LONG or READY not in received[LONG:]:
+                    piece = connection.recv(int(RATE * PIECES))
+                    if not piece:
+                        raise EOFError("end of the stream")
+                    received += piece
+                    if not next_sent and time.time() > started + NEXT_COMMAND[number]:
+                        next_sent = True
+                        connection.sendall(message("Q", cstr(select("rates", "history", 1500, second))))
+                        record(f"client {number}: sent its next command {second} after {len(received)} bytes")
+                    time.sleep(PIECES)
+                whole.append(number)
+                record(f"client {number}: {first} is answered whole, {len(received)} bytes")
+            except (OSError, EOFError) as e:
+                cut.append(number)
+                record.verdict(f"client {number}: the answer to {first} was cut off after {len(received)} of {LONG} bytes: {e}")
 
-    async def writer():
-        while not stop.is_set():
-            await asyncio.sleep(random.uniform(0.1, 0.3))
-            key = random.choice([k for k in KEYS if k not in busy])
-            busy.add(key)
-            written[key] = written.get(key, 0) + 1
-            request = new_id()
-            state, _ = await ask(insert(key, b"v%d" % written[key], "save-quote", 2000, request), f"save-quote {request} {key}=v{written[key]}")
-            if state is None:
-                acknowledged[key] = written[key]
-            busy.discard(key)
-
-    async def reader():
-        while not stop.is_set():
-            await asyncio.sleep(random.uniform(0.02, 0.1))
-            if acknowledged:
-                key, request, sent = random.choice(list(acknowledged)), new_id(), time.time()
-                least = acknowledged[key]
-                state, value = await ask(select(key, "quote-check", 2000, request), f"quote-check {request} {key} (at least v{least})")
-                if state is None and (value == b"none" or int(value[1:]) < least):
-                    late = bool(told) and sent > told[0] + KNOWN_AFTER
-                    (stale if late else excused).append(request)
-                    record(f"STALE: quote-check {request} was answered {value.decode()} although v{least} had been acknowledged"
-                           + ("" if late else "; excused, the pooler had not been told"))
-
-    clients = [asyncio.create_task(writer()) for _ in range(3)] + [asyncio.create_task(reader()) for _ in range(20)]
-    await asyncio.sleep(3)
-    taken_over = time.time() + TAKEN_OVER
-    if TROUBLE:
-        record("s-2, the primary, dies")
-        first.crash()
-        first.primary = False
-        await asyncio.sleep(DEAD)
-        await first.start()
-        agent.put(first.name, born_ms=int(time.time() * 1000))  # the list's word on roles comes late
-        record("s-2 is back, as a standby")
-        await asyncio.sleep(taken_over - time.time())
-        for server in servers:
-            server.slow_from = time.time()
-        second.primary = True
-        record("s-3 takes over; the others apply the log slowly")
-    else:
-        await asyncio.sleep(taken_over - time.time())
-    await asyncio.sleep(1.8)
-    if TROUBLE and not (told and told[0] + KNOWN_AFTER < time.time()):
-        raise CannotRun("the old process has not heard from s-2")
-    new = await pooler.spawn()
-    ready = asyncio.create_task(pooler.until_ready(new))
-    await asyncio.sleep(taken_over + ROLE_LATE - time.time())
+    clients = []
+    for number in range(CLIENTS):
+        clients.append(asyncio.create_task(asyncio.to_thread(client, number)))
+    await asyncio.sleep(0.3)
     if TROUBLE:
-        agent.put(first.name, replication="standby")
-        agent.put(second.name, replication="primary")
-        record("the list names s-3 as the primary")
-    await ready
-    pooler.signal(old, signal.SIGTERM)
-    await asyncio.sleep(4)
-    stop.set()
+        if await pooler.call(process, "PUT", "/api/evacuate") != 200:
+            raise CannotRun("the order to evacuate was not taken")
+        record("operators: clients are sent away")
     await asyncio.gather(*clients)
-    record.verdict(f"{counts}, stale reads: {len(excused)} excused, {len(stale)} not excused")
-    if counts["served"] < 100:
-        raise CannotRun("too little was served")
-    return bool(stale)
+    broken = [line for line in (pathlib.Path(folder) / "pooler-0.log").read_text().splitlines() if "during a long answer" in line]
+    record.verdict(f"long answers: {len(whole)} whole, {len(cut)} cut off by the pooler; all quote servers gave theirs whole")
+    if not whole and not cut or broken:
+        raise CannotRun("a quote server did not give its answer")
+    return bool(cut)
 
 
 main(case)
