Review, case 8: next commands up to 2.7 s after the first, for smaller send buffers

Cause: where the system buffers less, more of a value has been read when the connection is closed, and a command that comes before the close is answered. Change: the commands are spread to 2.7 s.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 RATE = 1_500_000  # bytes a second that a client reads, in pieces
 PIECES = 0.02  # seconds between two pieces
 CLIENTS = 8
-NEXT_COMMAND = [0.9 + 0.2 * i for i in range(CLIENTS)]  # seconds after the first command
+NEXT_COMMAND = [0.9 + 0.26 * i for i in range(CLIENTS)]  # seconds after the first command
 
 
 async def case(record, folder, poolers):
