Review: an unexpected error in a case is status 2, no verdict on the rule

Cause: Python ends with status 1 on an uncaught error, which would read as a broken rule. Change: whatever keeps a case from its end gives status 2.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -482,7 +482,7 @@
                 await pooler.end()
     try:
         broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+    except Exception as e:  # whatever keeps a case from its end: no verdict on the rule
         record.verdict(f"not run: {e!r}")
         sys.exit(2)
     finally:
