Review: a case that is told to end or takes too long leaves no process and no folder

Cause: SIGTERM ended a script with its poolers and its temporary folder left; a thread of a client could hold up its end past 120 s; without the build a folder was left. Change: the stand-ins' main ends its processes by their handles and removes the folder on every way out, and gives up 110 s after the start with status 2.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -12,8 +12,10 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -417,7 +419,7 @@
                    BALANCER_LISTEN=self.document["listen"], BALANCER_DISCOVERY=self.document["discovery"],
                    BALANCER_MANAGEMENT=f"127.0.0.1:{management}", TMPDIR=str(self.tmp))
         log = open(self.folder / f"pooler-{len(self.processes)}.log", "wb")
-        process = await asyncio.create_subprocess_exec("/bin/sh", "-c", self.run, cwd=ROOT, env=env, stdout=log, stderr=log)
+        process = subprocess.Popen(["/bin/sh", "-c", self.run], cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         process.management = management
         self.processes.append(process)
         self.record(f"pooler process {len(self.processes) - 1} started")
@@ -441,7 +443,7 @@
         """Waits until the process says yes at its management address."""
         end = time.time() + timeout
         while time.time() < end:
-            if process.returncode is not None:
+            if process.poll() is not None:
                 raise CannotRun("a pooler process ended during its start")
             if await self.call(process, "GET", "/api/ready") == 200:
                 self.record(f"pooler process {self.processes.index(process)} is ready")
@@ -450,46 +452,48 @@
         raise CannotRun("a pooler process is not ready")
 
     def signal(self, process, number):
-        if process.returncode is None:
+        if process.poll() is None:
             self.record(f"pooler process {self.processes.index(process)} gets {signal.Signals(number).name}")
             process.send_signal(number)
 
-    async def end(self):
-        for process in self.processes:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-
 
 class CannotRun(Exception):
     """The case could not be run; its exit status is 2."""
 
 
-def main(case, limit=110):
-    """Runs `case(record, folder)`, which returns whether the rule was broken."""
+def main(case, limit=100):
+    """
+    Runs `case(record, folder, poolers)`, which returns whether the rule was broken, and ends with the case's exit status. Whatever
+    ends it, also SIGTERM, its processes and its folder are gone afterwards.
+    """
     record = Record(pathlib.Path(sys.argv[1]).resolve() / "record.txt")
-    folder = tempfile.mkdtemp(prefix="review-")
     if not (ROOT / "target" / "holdmux" / "lib" / "holdmux-pooler.jar").exists():
         record.verdict("not run: the build of the deploy file is missing")
         sys.exit(2)
-
-    async def run():
-        poolers = []
-        try:
-            return await asyncio.wait_for(case(record, folder, poolers), limit)
-        finally:
-            for pooler in poolers:
-                await pooler.end()
-    try:
-        broken = asyncio.run(run())
-    except Exception as e:  # whatever keeps a case from its end: no verdict on the rule
-        record.verdict(f"not run: {e!r}")
-        sys.exit(2)
-    finally:
+    folder = tempfile.mkdtemp(prefix="review-")
+    poolers = []
+    ending = threading.Lock()
+
+    def end(text, status):
+        if not ending.acquire(blocking=False):
+            return  # it ends already
+        for process in [process for pooler in poolers for process in pooler.processes]:
+            process.kill()  # does nothing to one that has ended
+            process.wait()
         for log in sorted(pathlib.Path(folder).glob("*.log")):
             record(f"-- {log.name}, last lines")
             for line in log.read_text(errors="replace").splitlines()[-40:]:
                 record("   " + line)
         shutil.rmtree(folder, ignore_errors=True)
-    record.verdict("rule broken" if broken else "rule held")
-    sys.exit(1 if broken else 0)
+        record.verdict(text)
+        os._exit(status)  # threads of clients may still wait for an answer
+
+    signal.signal(signal.SIGTERM, lambda *_: end("not run: told to end", 2))
+    watchdog = threading.Timer(limit + 10, lambda: end("not run: it takes too long", 2))
+    watchdog.daemon = True
+    watchdog.start()
+    try:
+        broken = asyncio.run(asyncio.wait_for(case(record, folder, poolers), limit))
+        end("rule broken" if broken else "rule held", 1 if broken else 0)
+    except Exception as e:  # whatever keeps a case from its end: no verdict on the rule
+        end(f"not run: {e!r}", 2)
