--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -580,14 +580,15 @@
 
     /** Closes the socket and removes the session from the registry. */
     void close() {
+        boolean wasOpen = !socket.isClosed();
         try {
-            if (!socket.isClosed()) {
-                counters.count(Counter.CLIENTS_CLOSED);
-            }
             socket.close();
         } catch (IOException e) {
             // nothing left to release
         }
         context.clients().remove(this);
+        if (wasOpen) {
+            counters.count(Counter.CLIENTS_CLOSED);
+        }
     }
 }
