--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -26,6 +26,8 @@
     private boolean written;
     private boolean connected;
     private boolean finished;
+    /** Whether it was given up because the rest of its message may no longer be written. */
+    private boolean writeAbandoned;
     /** Whether the outcome proves that the request never ran. */
     private boolean neverRan;
 
@@ -62,6 +64,29 @@
         return guard.mayWrite();
     }
 
+    /** How much of the attempt's time is left, in whole milliseconds and at least one: what a server is told. */
+    public long remainingMs(long now) {
+        return Math.max(1, (startedAt + timeoutNs - now) / Clock.MS);
+    }
+
+    /**
+     * Gives the attempt up unless the rest of its message may still be written; does nothing once the last byte was. Any thread may
+     * call it: the thread that writes may block for as long as the server does not read.
+     */
+    public void recheckWrite() {
+        if (!guard.mayContinue()) {
+            abandonWrite();
+        }
+    }
+
+    /** Closes the connection in the middle of a message, which the server then never runs. */
+    public synchronized void abandonWrite() {
+        if (!written && !finished && abortOutcome == null) {
+            writeAbandoned = true;
+            close(connection);
+        }
+    }
+
     /** Notes that the last byte has been written: from now on the request may have run. */
     public void markWritten() {
         synchronized (this) {
@@ -93,7 +118,7 @@
 
     /** Ends the attempt with its complete answer; false if it was aborted before. A later abort leaves its connection open. */
     public synchronized boolean complete() {
-        finished = abortOutcome == null;
+        finished = abortOutcome == null && !writeAbandoned;
         return finished;
     }
 
@@ -103,7 +128,7 @@
         if (written) {
             return abortOutcome == null || abortOutcome == Outcome.CONNECT_FAILED ? Outcome.RESET : abortOutcome;
         }
-        return abortOutcome == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
+        return writeAbandoned || abortOutcome == Outcome.CANCELLED ? Outcome.MOOT : Outcome.CONNECT_FAILED;
     }
 
     /** Ends the attempt on a broken connection whose protocol proves that the server never processed the request. */
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -461,6 +461,11 @@
                 return Balancer.this.mayWrite(request, number);
             }
 
+            @Override
+            public boolean mayContinue() {
+                return mayContinueWrite(request, number);
+            }
+
             @Override
             public void onWritten() {
                 attemptWritten(request, number);
@@ -485,6 +490,17 @@
         }
     }
 
+    private boolean mayContinueWrite(Request request, int number) {
+        lock.lock();
+        try {
+            long now = clock.now();
+            return sendGate.permitsRest(request, request.attempts.get(number),
+                    splitter.sendPermission(now, request.id, number), deployment.settings().rules().drainGraceNs(), now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void attemptWritten(Request request, int number) {
         lock.lock();
         try {
--- a/pooler/src/main/java/holdmux/core/SendGate.java
+++ b/pooler/src/main/java/holdmux/core/SendGate.java
@@ -3,6 +3,7 @@
 import holdmux.core.Counters.Counter;
 import holdmux.decision.Permission;
 import holdmux.decision.SplitterApi.Availability;
+import holdmux.decision.SplitterApi.Consistency;
 import holdmux.decision.SplitterApi.Effect;
 import holdmux.decision.SplitterApi.ListChanged;
 import holdmux.decision.SplitterApi.ListMode;
@@ -104,6 +105,30 @@
         return recordDecision(permission, attempt, now);
     }
 
+    /**
+     * Whether the rest of an attempt whose first bytes have been written may follow now. A drain or removal told since then leaves
+     * it the grace, as the rules count such a send from its first byte; all other conditions are counted from the last byte.
+     */
+    boolean permitsRest(Request request, Attempt attempt, Permission modulePermission, long graceNs, long now) {
+        boolean mayFinish = switch (modulePermission) {
+            case ALLOWED -> true;
+            // the decision module has not looked at the age of the data, which does not matter for a write
+            case SERVER_DRAINING, SERVER_GONE -> request.spec.consistency() == Consistency.WRITE
+                    && withinGrace(attempt.serverId, graceNs, now);
+            default -> false;
+        };
+        boolean permitted = mayFinish && !request.finished;
+        if (!permitted) {
+            counters.count(Counter.WRITES_GIVEN_UP);
+        }
+        return permitted;
+    }
+
+    private boolean withinGrace(long serverId, long graceNs, long now) {
+        ServerState state = servers.get(serverId);
+        return state != null && (state.isReady() || now < state.unavailableSince() + graceNs);
+    }
+
     /** Whether a probe may be written now. */
     boolean permitsProbe(Attempt probe, boolean goneIsAdvice, long now) {
         return recordDecision(listUnconfirmed ? Permission.LIST_UNCONFIRMED : listPermission(probe.serverId, goneIsAdvice), probe, now);
--- a/pooler/src/main/java/holdmux/pg/JitWarmUp.java
+++ b/pooler/src/main/java/holdmux/pg/JitWarmUp.java
@@ -55,7 +55,7 @@
         int parsedCount = 0;
         for (int i = 0; i < ITERATIONS; i++) {
             Statement statement = Statement.parse(ChunkedText.of(query, query.length));
-            parsedCount += PgUpstream.queryMessage(statement.text(statement.timeoutMs)).size() > 0 ? 0 : 1;
+            parsedCount += new QueryMessage(statement, () -> statement.timeoutMs).tail() != null ? 0 : 1;
             Answer parsedAnswer = new Answer(buffer, reportFormat);
             parsedCount += parsedAnswer.parse(answerLength) && parsedAnswer.reply().outcome() == Outcome.OK ? 1 : 0;
         }
--- a/pooler/src/main/java/holdmux/pg/PgUpstream.java
+++ b/pooler/src/main/java/holdmux/pg/PgUpstream.java
@@ -16,10 +16,7 @@
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.statement.BufferPool;
 import holdmux.statement.Statement;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Supplier;
 
 /** Executes attempts and probes on servers that speak the PostgreSQL protocol. */
@@ -27,10 +24,12 @@
     private static final byte[] PROBE_QUERY = "SHOW pressure".getBytes(StandardCharsets.US_ASCII);
 
     private final ServerPool servers;
+    private final Clock clock;
 
     /** Creates the upstream with a connection pool and buffers of its own. */
     public PgUpstream(Caps caps, ServerRegistry registry, Clock clock, Deadlines deadlines, Counters counters,
             Supplier<Deployment> deployment, OtherProcess otherProcess, ServerSlots slots) {
+        this.clock = clock;
         // a buffer pool separate from the clients', so that slow clients cannot starve the server side
         servers = new ServerPool(registry, clock, deadlines, counters,
                 new BufferPool(caps.answerBytes(), otherProcess::present), deployment, slots);
@@ -39,8 +38,8 @@
     @Override
     public AttemptResult attempt(Attempt attempt, Statement statement, QueryResult.Shape shape) {
         PgResult[] result = new PgResult[1];
-        long limitMs = Math.max(1, attempt.timeoutNs / Clock.MS);
-        Reply reply = servers.exchange(attempt, queryMessage(statement.text(limitMs)), Counter.SENDS_OUTDATED, answer -> {
+        Supplier<QueryMessage> query = () -> new QueryMessage(statement, () -> attempt.remainingMs(clock.now()));
+        Reply reply = servers.exchange(attempt, query, Counter.SENDS_OUTDATED, answer -> {
             Reply parsedReply = answer.reply();
             if (parsedReply.outcome() == Outcome.OK) {
                 result[0] = new PgResult(answer, servers);
@@ -54,22 +53,12 @@
 
     @Override
     public Reply probe(Attempt attempt) {
-        return servers.exchange(attempt, queryMessage(List.of(ByteBuffer.wrap(PROBE_QUERY))), Counter.PROBES_WITHHELD, answer -> {
+        return servers.exchange(attempt, () -> new QueryMessage(PROBE_QUERY), Counter.PROBES_WITHHELD, answer -> {
             servers.releaseAnswer(answer); // closes the connection of a streamed answer, which is too long for a report
             return answer.probeReply();
         });
     }
 
-    /** Encodes a Query message with this text. */
-    static List<ByteBuffer> queryMessage(List<ByteBuffer> text) {
-        int length = Integer.BYTES + text.stream().mapToInt(ByteBuffer::remaining).sum() + 1;
-        List<ByteBuffer> parts = new ArrayList<>();
-        parts.add(ByteBuffer.allocate(MessageBuilder.HEADER_BYTES).put((byte) 'Q').putInt(length).flip());
-        parts.addAll(text);
-        parts.add(ByteBuffer.wrap(new byte[1]));
-        return parts;
-    }
-
     @Override
     public void closeIdle(long serverId) {
         servers.closeAllIdle(serverId);
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -1,5 +1,6 @@
 package holdmux.pg;
 
+import holdmux.core.Attempt;
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import holdmux.core.IdleConnections;
@@ -15,8 +16,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.util.List;
-import java.util.function.BooleanSupplier;
 
 /**
  * One blocking connection to a server, for one request at a time. It uses a channel instead of a Socket, since only a channel
@@ -30,6 +29,10 @@
     /** Servers send the messages behind a result or an error in the same write; if they are late by this, they never come. */
     private static final long TRAILER_TIMEOUT_NS = 50 * Clock.MS;
 
+    /** How much of a message the system may hold for a server that does not read; longer messages are written in parts. Less than
+     * a segment, which has up to 64 KiB on loopback, would wait for the server's delayed acknowledgements. */
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     private final long serverId;
     private final InetSocketAddress address;
     private final SocketChannel channel;
@@ -47,6 +50,7 @@
         channel = SocketChannel.open();
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
         } catch (IOException e) {
             close(); // otherwise the file descriptor would leak
             throw e;
@@ -65,34 +69,54 @@
     }
 
     /**
-     * Writes a message if {@code mayWrite}, checked immediately before, permits it; returns whether it was written completely. A
-     * message that fits a buffer is written in one call. Acquiring the buffer may take time, so it comes before the check.
+     * Writes an attempt's message if the attempt may be written, checked immediately before; returns whether it was written
+     * completely.
+     *
+     * @throws IOException if the connection broke or the attempt was given up before the last byte
      */
-    boolean send(List<ByteBuffer> parts, BooleanSupplier mayWrite) throws IOException {
-        int length = parts.stream().mapToInt(ByteBuffer::remaining).sum();
-        if (length > BufferPool.BUFFER_SIZE) {
-            boolean valid = mayWrite.getAsBoolean();
-            used |= valid;
-            for (ByteBuffer part : valid ? parts : List.<ByteBuffer>of()) {
-                write(part);
-            }
-            return valid;
-        }
+    boolean send(QueryMessage message, Attempt attempt, Deadlines deadlines) throws IOException {
+        return message.length() > SEND_BUFFER_BYTES ? sendInParts(message, attempt, deadlines) : sendAtOnce(message, attempt);
+    }
+
+    /** Writes a short message in one call. Acquiring the buffer may take time, so it comes before the check. */
+    private boolean sendAtOnce(QueryMessage message, Attempt attempt) throws IOException {
         byte[] buffer = buffers.acquire();
         try {
-            ByteBuffer message = ByteBuffer.wrap(buffer);
-            parts.forEach(message::put);
-            boolean valid = mayWrite.getAsBoolean();
-            used |= valid;
-            if (valid) {
-                write(message.flip());
+            ByteBuffer bytes = ByteBuffer.wrap(buffer);
+            message.head().forEach(bytes::put);
+            ByteBuffer tail = message.tail();
+            boolean permitted = tail != null && attempt.mayWrite();
+            used |= permitted;
+            if (permitted) {
+                write(bytes.put(tail).flip());
             }
-            return valid;
+            return permitted;
         } finally {
             buffers.release(buffer);
         }
     }
 
+    /** Writes a long message, which takes as long as the server needs to read it; what permits it is checked up to its last byte. */
+    private boolean sendInParts(QueryMessage message, Attempt attempt, Deadlines deadlines) throws IOException {
+        if (!attempt.mayWrite()) {
+            return false;
+        }
+        used = true;
+        try (WriteMonitor monitor = new WriteMonitor(attempt, deadlines)) {
+            for (ByteBuffer part : message.head()) {
+                write(part);
+            }
+            attempt.recheckWrite();
+            ByteBuffer tail = message.tail();
+            if (tail == null) {
+                attempt.abandonWrite();
+                throw new IOException("the time left has become too short to be stated");
+            }
+            write(tail);
+        }
+        return true;
+    }
+
     /** Writes the startup packet. */
     void sendStartup(ByteBuffer packet) throws IOException {
         write(packet);
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -19,8 +19,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
@@ -60,10 +58,11 @@
      * Sends a query on an idle or a new connection to the attempt's server and reads the answer; blocks until the attempt has
      * ended, or its long answer has begun.
      *
+     * @param query composes the query once the connection is open
      * @param withheldCounter counts queries that were not written because the decision to send them was no longer valid
      * @param toReply takes over the answer and maps it to a reply
      */
-    Reply exchange(Attempt attempt, List<ByteBuffer> query, Counter withheldCounter, Function<Answer, Reply> toReply) {
+    Reply exchange(Attempt attempt, Supplier<QueryMessage> query, Counter withheldCounter, Function<Answer, Reply> toReply) {
         ServerConnection connection = null;
         boolean reusable = false;
         boolean streaming = false;
@@ -86,7 +85,7 @@
                 }
             }
             attempt.markConnected();
-            if (!connection.send(query, attempt::mayWrite)) {
+            if (!connection.send(query.get(), attempt, deadlines)) {
                 counters.count(withheldCounter);
                 reusable = attempt.complete();
                 return Reply.of(Outcome.MOOT);
--- a/pooler/src/main/java/holdmux/statement/Statement.java
+++ b/pooler/src/main/java/holdmux/statement/Statement.java
@@ -248,12 +248,22 @@
         text.views(0, text.length).forEach(copy::put);
     }
 
+    /** The text in front of the value of {@code d}, in pieces; {@code d} is in the closing comment. */
+    public List<ByteBuffer> textBeforeTimeout() {
+        return text.views(0, timeoutFrom);
+    }
+
+    /** The text behind the value of {@code d}, in pieces. */
+    public List<ByteBuffer> textAfterTimeout() {
+        return text.views(timeoutTo, text.length);
+    }
+
     /** The text to send to a server, in pieces, with {@code d} set to the given limit. */
     public List<ByteBuffer> text(long limitMs) {
         List<ByteBuffer> parts = new ArrayList<>();
-        parts.addAll(text.views(0, timeoutFrom));
+        parts.addAll(textBeforeTimeout());
         parts.add(ByteBuffer.wrap(Long.toString(limitMs).getBytes(StandardCharsets.US_ASCII)));
-        parts.addAll(text.views(timeoutTo, text.length));
+        parts.addAll(textAfterTimeout());
         return parts;
     }
 }
--- a/pooler/src/test/java/holdmux/core/AttemptTest.java
+++ b/pooler/src/test/java/holdmux/core/AttemptTest.java
@@ -35,6 +35,24 @@
         assertEquals(Outcome.CANCELLED, attempt(true, null).failLocally());
     }
 
+    /** Guards against taking a message that was given up half-way for one that ran, and one written to its end for one that did not. */
+    @Test
+    void onlyAnUnfinishedMessageIsGivenUp() {
+        Attempt unfinished = attempt(false, null);
+        unfinished.abandonWrite();
+        assertTrue(closed);
+        assertFalse(unfinished.complete(), "its connection is not reusable");
+        assertEquals(Outcome.MOOT, unfinished.failDisconnected());
+        closed = false;
+        Attempt written = attempt(true, null);
+        written.abandonWrite();
+        assertFalse(closed);
+        Attempt writtenMeanwhile = attempt(false, null);
+        writtenMeanwhile.abandonWrite();
+        writtenMeanwhile.markWritten();
+        assertEquals(Outcome.RESET, writtenMeanwhile.failDisconnected());
+    }
+
     @Test
     void abortClosesTheConnectionOnce() {
         Attempt attempt = attempt(true, Outcome.TIMEOUT);
--- a/pooler/src/test/java/holdmux/core/SendGateTest.java
+++ b/pooler/src/test/java/holdmux/core/SendGateTest.java
@@ -67,6 +67,25 @@
         assertEquals(2, counters.get(Counter.WITHHELD_LIST_UNCONFIRMED));
     }
 
+    private boolean permitsRest(Attempt attempt, Permission modulePermission, long now) {
+        return gate.permitsRest(request, attempt, modulePermission, GRACE, now);
+    }
+
+    /** Guards against a message that blocks until its permission has ended: drains leave it the grace, all else ends it at once. */
+    @Test
+    void theRestOfAMessageNeedsPermissionToo() {
+        gate.updateAvailability(list(ListMode.FULL, Availability.READY), 1);
+        assertTrue(permitsRest(attempt(), Permission.ALLOWED, 2));
+        assertFalse(permitsRest(attempt(), Permission.NOT_REPEATABLE, 2), "the window is over");
+        assertFalse(permitsRest(attempt(), Permission.DATA_TOO_OLD, 2), "a bound counts from the last byte");
+        gate.updateAvailability(list(ListMode.DELTA, Availability.DRAINING), 3);
+        assertTrue(permitsRest(attempt(), Permission.SERVER_DRAINING, 2 + GRACE), "within the grace");
+        assertFalse(permitsRest(attempt(), Permission.SERVER_DRAINING, 3 + GRACE));
+        request.finished = true;
+        assertFalse(permitsRest(attempt(), Permission.ALLOWED, 4), "the client has left");
+        assertEquals(4, counters.get(Counter.WRITES_GIVEN_UP));
+    }
+
     @Test
     void nothingIsSentForFinishedOrTimedOutRequests() {
         gate.updateAvailability(list(ListMode.FULL, Availability.READY), 1);
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import holdmux.core.Attempt;
 import holdmux.core.Clock;
 import holdmux.core.Deadlines;
 import holdmux.core.IdleConnections.Readiness;
@@ -17,7 +18,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -82,11 +82,12 @@
                 ServerConnection connection = new ServerConnection(1, new InetSocketAddress(loopback, server.getLocalPort()),
                         new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false))) {
             connection.connect(5_000 * Clock.MS);
-            assertTrue(connection.send(List.of(ByteBuffer.wrap(new byte[] {'Q'})), () -> true));
+            byte[] text = {'q'};
+            assertTrue(connection.send(new QueryMessage(text), new Attempt(1, 0, 0, 1, () -> true), new Deadlines(new Clock())));
             assertTrue(connection.synchronize());
             assertFalse(connection.isSynchronized());
             try (Socket socket = server.accept()) {
-                socket.getInputStream().readNBytes(1 + SyncQuery.message().remaining());
+                socket.getInputStream().readNBytes(new QueryMessage(text).length() + SyncQuery.message().remaining());
                 MessageBuilder response = new MessageBuilder(new byte[64]).begin('C').put(SyncQuery.COMMAND).end().readyForQuery();
                 response.writeTo(socket.getOutputStream());
             }
