--- a/flight/src/main/java/holdmux/flight/FlightService.java
+++ b/flight/src/main/java/holdmux/flight/FlightService.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.Message;
 import com.google.protobuf.Timestamp;
 import holdmux.core.Admission;
+import holdmux.core.ClientWatch;
 import holdmux.core.Counters.Counter;
 import holdmux.core.IdClaims;
 import holdmux.core.Log;
@@ -376,7 +377,7 @@
         try {
             Effect effect = services.admission().requestClass(statement.className).effect();
             IdClaims.Claim claim = services.balancer().ids().claim(statement, effect);
-            Request request = services.balancer().openRequest(requestSpec, claim);
+            Request request = services.balancer().openRequest(requestSpec, claim, ClientWatch.IMMEDIATE);
             if (!cancellation.begin(request)) {
                 services.balancer().clientLeft(request);
             }
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -5,6 +5,7 @@
 import holdmux.core.Counters.Counter;
 import holdmux.core.Upstream.AttemptResult;
 import holdmux.decision.EndReason;
+import holdmux.decision.Permission;
 import holdmux.decision.ReadWriteSplitter;
 import holdmux.decision.SplitterApi.AbortRequest;
 import holdmux.decision.SplitterApi.Action;
@@ -186,13 +187,14 @@
     /**
      * Registers a request that was received completely; {@link #execute} must follow, which ends its claim.
      *
-     * @param claim the claim on the id that its client gave it; null if it has none
+     * @param claim  the claim on the id that its client gave it; null if it has none
+     * @param client tells whether its client may have left unnoticed
      */
-    public Request openRequest(Request.Spec spec, IdClaims.Claim claim) {
+    public Request openRequest(Request.Spec spec, IdClaims.Claim claim, ClientWatch client) {
         lock.lock();
         try {
             counters.count(Counter.REQUESTS_TAKEN);
-            Request request = new Request(++lastId, spec, claim);
+            Request request = new Request(++lastId, spec, claim, client);
             openRequests.put(request.id, request);
             return request;
         } finally {
@@ -338,7 +340,7 @@
         lock.lock();
         try {
             List.copyOf(openRequests.values()).stream().filter(request -> !request.finished)
-                    .forEach(request -> handleEvent(new AbortRequest(request.id)));
+                    .forEach(request -> handleEvent(new AbortRequest(request.id, EndReason.PROCESS_ENDS)));
         } finally {
             lock.unlock();
         }
@@ -483,19 +485,28 @@
         lock.lock();
         try {
             long now = clock.now();
-            return sendGate.permits(request, request.attempts.get(number), splitter.sendPermission(now, request.id, number),
-                    goneIsAdvice(), now);
+            Permission modulePermission = clientPermission(request, splitter.sendPermission(now, request.id, number), now);
+            return sendGate.permits(request, request.attempts.get(number), modulePermission, goneIsAdvice(), now);
         } finally {
             lock.unlock();
         }
     }
 
+    /** Ends a request whose client may have left unnoticed: nothing more may be sent for it, and a client that stays gets its answer. */
+    private Permission clientPermission(Request request, Permission modulePermission, long now) {
+        if (modulePermission != Permission.ALLOWED || !sendGate.mayHaveLostClient(request, now)) {
+            return modulePermission;
+        }
+        handleEvent(new AbortRequest(request.id, EndReason.CLIENT_UNCERTAIN));
+        return Permission.CLIENT_UNCERTAIN;
+    }
+
     private boolean mayContinueWrite(Request request, int number) {
         lock.lock();
         try {
             long now = clock.now();
-            return sendGate.permitsRest(request, request.attempts.get(number),
-                    splitter.sendPermission(now, request.id, number), deployment.settings().rules().drainGraceNs(), now);
+            Permission modulePermission = clientPermission(request, splitter.sendPermission(now, request.id, number), now);
+            return sendGate.permitsRest(request, request.attempts.get(number), modulePermission, deployment.settings().rules().drainGraceNs(), now);
         } finally {
             lock.unlock();
         }
--- a/pooler/src/main/java/holdmux/core/Clock.java
+++ b/pooler/src/main/java/holdmux/core/Clock.java
@@ -27,7 +27,7 @@
      * The rest of the gap can only make this clock run ahead, so that data look older; if it ran behind, a replica would
      * look fresher than it is.
      */
-    Clock(LongSupplier wall, LongSupplier monotonic) {
+    public Clock(LongSupplier wall, LongSupplier monotonic) {
         this.monotonic = monotonic;
         long smallestGap = Long.MAX_VALUE;
         long bestOffset = 0;
--- a/pooler/src/main/java/holdmux/core/Request.java
+++ b/pooler/src/main/java/holdmux/core/Request.java
@@ -41,12 +41,14 @@
     long clientLeftAt;
     Effect effect = Effect.IDEMPOTENT;
 
+    final ClientWatch client;
     private final IdClaims.Claim claim;
 
-    Request(long id, Spec spec, IdClaims.Claim claim) {
+    Request(long id, Spec spec, IdClaims.Claim claim, ClientWatch client) {
         this.id = id;
         this.spec = spec;
         this.claim = claim;
+        this.client = client;
     }
 
     /** Whether an attempt may have run; guarded by the balancer's lock. */
--- a/pooler/src/main/java/holdmux/core/SendGate.java
+++ b/pooler/src/main/java/holdmux/core/SendGate.java
@@ -27,6 +27,9 @@
     /** Time between permission and write for which a process may lose its core; the drain grace covers it, longer ones are counted. */
     private static final long MAX_WRITE_DELAY_NS = 150 * Clock.MS;
 
+    /** A close that may have come longer ago than this, unnoticed, forbids an attempt: none may begin over 100 ms after it. */
+    private static final long MAX_UNNOTICED_CLOSE_NS = 80 * Clock.MS;
+
     /** Number of servers, gone ones included, beyond which the gone ones are dropped from the record. */
     private static final int MAX_SERVERS = 8_192;
 
@@ -80,6 +83,11 @@
         servers.put(serverId, new ServerState(availability, wasUnavailable ? previous.unavailableSince() : now));
     }
 
+    /** Whether the client of a request may have left so long ago that no attempt may begin. */
+    boolean mayHaveLostClient(Request request, long now) {
+        return request.client.unnoticedCloseNs(now) > MAX_UNNOTICED_CLOSE_NS;
+    }
+
     /**
      * Whether an attempt may be written now.
      *
--- a/pooler/src/main/java/holdmux/decision/EndReason.java
+++ b/pooler/src/main/java/holdmux/decision/EndReason.java
@@ -10,6 +10,8 @@
     NOT_REPEATABLE,
     /** Two servers answered the request with an error. */
     SERVERS_FAILED,
+    /** An attempt was withheld since its client may have left unnoticed. */
+    CLIENT_UNCERTAIN,
     /** This process is shutting down. */
     PROCESS_ENDS,
     /** Its class was removed from the settings while it was being received. */
--- a/pooler/src/main/java/holdmux/decision/Permission.java
+++ b/pooler/src/main/java/holdmux/decision/Permission.java
@@ -6,6 +6,8 @@
     ALLOWED,
     /** The request already has its final answer, or its client has left. */
     REQUEST_OVER,
+    /** Its client may have left, unnoticed behind input that has not been read. */
+    CLIENT_UNCERTAIN,
     /** It may have run and must not run again, or its deduplication window is over. */
     NOT_REPEATABLE,
     /** The attempt has timed out. */
--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -291,7 +291,7 @@
             } else if (event instanceof ClientLeft e && openRequests.containsKey(e.id())) {
                 close(openRequests.get(e.id()));
             } else if (event instanceof AbortRequest e && openRequests.containsKey(e.id())) {
-                finish(openRequests.get(e.id()), EndReason.PROCESS_ENDS);
+                finish(openRequests.get(e.id()), e.reason());
             } else if (event instanceof ListChanged e) {
                 onListChanged(e);
             } else if (event instanceof LastWrite e) {
@@ -566,7 +566,9 @@
         if (request.done) {
             return;
         }
-        boolean mayHaveRun = request.inFlight > 0 || request.firstMayHaveRun != null;
+        boolean withheld = reason == EndReason.CLIENT_UNCERTAIN; // the attempt in flight
+        boolean inFlightMayRun = request.inFlight > 0 && !withheld;
+        boolean mayHaveRun = inFlightMayRun || request.firstMayHaveRun != null;
         boolean refusable = request.isIdempotent() || !mayHaveRun
                 || request.requestClass.effect() == Effect.DEDUPLICATED && request.requestClass.scope() == Scope.ALL;
         sink.accept(refusable
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -90,7 +90,7 @@
     public record ClientLeft(long id) implements Event {}
 
     /** This process ends: the request gets its final answer now, even if attempts are in flight. */
-    public record AbortRequest(long id) implements Event {}
+    public record AbortRequest(long id, EndReason reason) implements Event {}
 
     /** A streamed answer has started. */
     public record Started(long id, long store, int attempt) implements Event {}
--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -16,6 +16,12 @@
     private static final int READ_AHEAD_BYTES = 512;
     /** A read that takes longer than this has waited for its bytes. */
     private static final long BLOCKED_READ_NS = 20 * Clock.MS;
+    /** A wait on this side up to this long leaves no input with the client. */
+    private static final long NEGLIGIBLE_WAIT_NS = Clock.MS;
+    /** A read that waits longer than this has all that the client could not send before: several round trips. */
+    private static final long DRAINED_READ_NS = 3 * Clock.MS;
+    /** As long as less than this has come, the client was not kept from sending: no receive window is smaller. */
+    private static final int MIN_WINDOW_BYTES = 16 * 1024;
     /** How long {@link #checkNotClosed} waits for an end of input that the system has received. */
     private static final int END_CHECK_MS = 1;
     /** Bytes skipped per read. */
@@ -35,12 +41,62 @@
     /** How long nothing was read because of waits on this side, since everything that had come was last known to be read. */
     private long unreadNs;
     private boolean timeoutSet;
+    /** Whether the client may have more to send than fits the receive window, since nothing was read for a while; and how much has
+     * come since. Its close lies behind that, even if all that has come is read. */
+    private boolean backlogged;
+    private long receivedBytes;
+    /** Since when the reading thread has been in a read, 0 if it is not; and when all that had come was last known to be read. */
+    private volatile long readStartedAt, caughtUpAt;
 
     ClientInput(Socket socket, Clock clock) throws IOException {
         this.socket = socket;
         this.clock = clock;
         in = socket.getInputStream();
         receivedAt = clock.now();
+        caughtUpAt = receivedAt;
+    }
+
+    /**
+     * How long ago, in nanoseconds, the client may have closed its side unnoticed, behind input that has not been read; 0 if all is
+     * read. Any thread may call it.
+     */
+    long unnoticedCloseNs(long now) {
+        long startedAt = readStartedAt;
+        boolean waitsForInput = startedAt != 0 && now - startedAt > BLOCKED_READ_NS;
+        return waitsForInput ? 0 : Math.max(0, now - caughtUpAt);
+    }
+
+    /** Reads once from the socket. Returns what the system returned, which may mean an interruption or the end of the input. */
+    private int receive(byte[] target, int offset, int room) throws IOException {
+        long startNs = clock.now();
+        readStartedAt = startNs;
+        int received;
+        try {
+            received = in.read(target, offset, room);
+        } catch (SocketTimeoutException e) {
+            backlogged = false;
+            noteNothingUnread();
+            throw e;
+        } finally {
+            readStartedAt = 0;
+        }
+        if (received >= 0) {
+            noteReceived(startNs, received, room);
+        }
+        return received;
+    }
+
+    /** Notes that nothing is unread here; nothing is unread at the client either unless it was kept from sending. */
+    private void noteNothingUnread() {
+        unreadNs = 0;
+        if (!backlogged) {
+            caughtUpAt = clock.now();
+        }
+    }
+
+    private void noteBacklog() {
+        backlogged = true;
+        receivedBytes = 0;
     }
 
     /** Waits without limit for the first byte of the next message. */
@@ -51,13 +107,11 @@
                 timeoutSet = false;
             }
             readPosition = 0;
-            long startNs = clock.now();
-            readLimit = in.read(readAhead, 0, READ_AHEAD_BYTES);
+            readLimit = receive(readAhead, 0, READ_AHEAD_BYTES);
             if (readLimit < 0) {
                 readPosition = readLimit = 0;
                 throw new EOFException("the client closed the connection");
             }
-            noteReceived(startNs, readLimit, READ_AHEAD_BYTES);
         }
         return readAhead[readPosition++] & 0xff;
     }
@@ -76,14 +130,21 @@
     /** Notes a read: one that waited, or that received less than there was room for, has left nothing unread. */
     private void noteReceived(long startNs, int received, int room) {
         receivedAt = clock.now();
-        if (received < room || receivedAt - startNs > BLOCKED_READ_NS) {
-            unreadNs = 0;
+        receivedBytes += received;
+        boolean isEmpty = received < room;
+        boolean wasHeldBack = receivedBytes >= MIN_WINDOW_BYTES && receivedAt - startNs <= DRAINED_READ_NS;
+        backlogged &= !isEmpty || wasHeldBack;
+        if (isEmpty || receivedAt - startNs > BLOCKED_READ_NS) {
+            noteNothingUnread();
         }
     }
 
     /** Notes that nothing was read for this time in nanoseconds because of a wait on this side, such as for a buffer. */
     void noteWait(long ns) {
         unreadNs += ns;
+        if (ns > NEGLIGIBLE_WAIT_NS) {
+            noteBacklog();
+        }
     }
 
     /** How long the last bytes received may have lain unread, in nanoseconds. */
@@ -103,17 +164,13 @@
         timeoutSet = true;
         try {
             while (readLimit < READ_AHEAD_BYTES) {
-                int room = READ_AHEAD_BYTES - readLimit;
-                long startNs = clock.now();
-                int received = in.read(readAhead, readLimit, room);
+                int received = receive(readAhead, readLimit, READ_AHEAD_BYTES - readLimit);
                 if (!DeadlineInputStream.wasInterrupted(received)) {
                     readLimit += checkNotEnd(received);
-                    noteReceived(startNs, received, room);
                 }
             }
             return false;
         } catch (SocketTimeoutException e) {
-            unreadNs = 0;
             return true;
         }
     }
@@ -156,8 +213,10 @@
         readPosition = readLimit = 0;
         byte[] sink = new byte[DISCARD_CHUNK_BYTES];
         socket.setSoTimeout(0);
-        while (in.read(sink, 0, DISCARD_CHUNK_BYTES) >= 0) {
+        noteBacklog();
+        while (receive(sink, 0, DISCARD_CHUNK_BYTES) >= 0) {
             try {
+                backlogged = true;
                 Thread.sleep(DISCARD_PAUSE_MS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -177,18 +236,15 @@
         long pauseDeadline = receivedAt + maxPauseMs * Clock.MS;
         try {
             while (true) {
-                long startNs = clock.now();
-                long remainingMs = (Math.min(deadline, pauseDeadline) - startNs) / Clock.MS + 1;
+                long remainingMs = (Math.min(deadline, pauseDeadline) - clock.now()) / Clock.MS + 1;
                 if (remainingMs <= 0) {
                     break;
                 }
                 socket.setSoTimeout((int) remainingMs);
                 timeoutSet = true;
-                int received = in.read(target, offset, length);
+                int received = receive(target, offset, length);
                 if (!DeadlineInputStream.wasInterrupted(received)) {
-                    checkNotEnd(received);
-                    noteReceived(startNs, received, length);
-                    return received;
+                    return checkNotEnd(received);
                 }
             }
         } catch (SocketTimeoutException e) {
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -397,7 +397,7 @@
             out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is shutting down", 0);
             return;
         }
-        Request request = context.balancer().openRequest(spec, command.claim());
+        Request request = context.balancer().openRequest(spec, command.claim(), in::unnoticedCloseNs);
         if (!startRequest(request)) {
             context.balancer().clientLeft(request);
         }
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -119,7 +119,7 @@
     }
 
     private Request open(Request.Spec spec) {
-        return balancer.openRequest(spec, null);
+        return balancer.openRequest(spec, null, ClientWatch.IMMEDIATE);
     }
 
     private void execute(Request request, ScriptedExchange script) {
--- a/pooler/src/test/java/holdmux/core/SendGateTest.java
+++ b/pooler/src/test/java/holdmux/core/SendGateTest.java
@@ -22,7 +22,7 @@
     private final Counters counters = new Counters();
     private final SendGate gate = new SendGate(counters, new ServerRegistry(List.of("north"), List.of("std")));
     private final Request request = new Request(1,
-            new Request.Spec("save-quote", Consistency.WRITE, false, 1_000 * MS, 0, 5, 2), null);
+            new Request.Spec("save-quote", Consistency.WRITE, false, 1_000 * MS, 0, 5, 2), null, ClientWatch.IMMEDIATE);
 
     private static ListChanged list(ListMode mode, Availability health) {
         return new ListChanged(mode, 1, List.of(new Listing(SERVER_ID, 2, 0, 0, health, true, 0, 1)));
--- a/pooler/src/test/java/holdmux/decision/SplitterInvariantsTest.java
+++ b/pooler/src/test/java/holdmux/decision/SplitterInvariantsTest.java
@@ -251,10 +251,10 @@
         f.advance(0, f.probeOk(1, 0, true));
         assertEquals(1, lastTarget(f.advance(1, arrival(1, UNSAFE_WRITE, 5))));
         assertTrue(lastTarget(f.advance(1, arrival(2, ANY_READ, 0))) > 0);
-        List<Action> write = f.advance(1, new AbortRequest(1));
+        List<Action> write = f.advance(1, new AbortRequest(1, EndReason.PROCESS_ENDS));
         assertTrue(failed(write) && !refused(write), "the write may have run");
-        assertTrue(refused(f.advance(0, new AbortRequest(2))));
-        List<Action> again = f.advance(0, new AbortRequest(1), new AbortRequest(2));
+        assertTrue(refused(f.advance(0, new AbortRequest(2, EndReason.PROCESS_ENDS))));
+        List<Action> again = f.advance(0, new AbortRequest(1, EndReason.PROCESS_ENDS), new AbortRequest(2, EndReason.PROCESS_ENDS));
         assertFalse(failed(again) || refused(again), "a second final answer");
     }
 
