Unread input: a read that waited 20 ms ends a backlog, and a long query is checked for a close

Change: a read that waited 20 ms proves that the client had nothing more to send; a query behind which all was last known to be read over 10 ms ago is checked for its client's close, as one that waited on this side is.

--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -131,10 +131,12 @@
     private void noteReceived(long startNs, int received, int room) {
         receivedAt = clock.now();
         receivedBytes += received;
+        long waitedNs = receivedAt - startNs;
         boolean isEmpty = received < room;
-        boolean wasHeldBack = receivedBytes >= MIN_WINDOW_BYTES && receivedAt - startNs <= DRAINED_READ_NS;
-        backlogged &= !isEmpty || wasHeldBack;
-        if (isEmpty || receivedAt - startNs > BLOCKED_READ_NS) {
+        if (waitedNs > BLOCKED_READ_NS || isEmpty && (waitedNs > DRAINED_READ_NS || receivedBytes < MIN_WINDOW_BYTES)) {
+            backlogged = false;
+        }
+        if (isEmpty || waitedNs > BLOCKED_READ_NS) {
             noteNothingUnread();
         }
     }
--- a/pooler/src/main/java/holdmux/pg/QueryReader.java
+++ b/pooler/src/main/java/holdmux/pg/QueryReader.java
@@ -22,8 +22,9 @@
     /** How long bytes may lie unread while a query waits for a buffer. Its last byte may be among them, how long its client
      * waits is known only once it is read, and an answer is due within 0.5 s even if that is no time at all. */
     private static final long MAX_UNREAD_NS = 300 * Clock.MS;
-    /** If a query may have lain unread for longer than this, its client may have closed the connection since, unnoticed. */
-    private static final long MAX_UNNOTICED_CLOSE_NS = Clock.MS;
+    /** If a query may have lain unread for longer than this, or not all input was read for longer than the second, its client may have
+     * closed the connection since, unnoticed. */
+    private static final long MAX_UNREAD_BEFORE_CHECK_NS = Clock.MS, MAX_UNNOTICED_BEFORE_CHECK_NS = 10 * Clock.MS;
     /** A query that may have lain unread for longer than this is dropped if its client's close may lie behind further input: no
      * attempt may begin over 0.1 s after the close. */
     private static final long MAX_DELAY_BEFORE_INPUT_NS = 80 * Clock.MS;
@@ -138,6 +139,8 @@
      * @throws IOException if the client has closed the connection
      */
     boolean mayForward(long delayNs) throws IOException {
-        return delayNs <= MAX_UNNOTICED_CLOSE_NS || in.checkNotClosed() || delayNs <= MAX_DELAY_BEFORE_INPUT_NS;
+        long unnoticedNs = in.unnoticedCloseNs(clock.now());
+        boolean needsCheck = delayNs > MAX_UNREAD_BEFORE_CHECK_NS || unnoticedNs > MAX_UNNOTICED_BEFORE_CHECK_NS;
+        return !needsCheck || in.checkNotClosed() || Math.max(delayNs, unnoticedNs) <= MAX_DELAY_BEFORE_INPUT_NS;
     }
 }
