--- a/pooler/src/main/java/holdmux/Serve.java
+++ b/pooler/src/main/java/holdmux/Serve.java
@@ -87,7 +87,8 @@
                 () -> pooler.isReady() && fronts.isServing() && activePolicy.acceptsRequests(), orders::setPoolerOrders,
                 () -> upgrade.get().publishOrdersChange(), () -> clock.now() / Clock.MS);
         upgrade.set(new Upgrade(directory, new Upgrade.LocalState(balancer::writes, balancer::applyWrite, operations::refresh,
-                fronts::openClients, services.slots()::held, balancer.ids().ids()), services.otherProcess(), deadlines, counters));
+                fronts::openClients, services.slots()::held, balancer.ids().ids(), balancer.roles(), balancer::writesUnknown),
+                services.otherProcess(), deadlines, counters));
         balancer.setWriteListener(upgrade.get());
         balancer.ids().setPeer(upgrade.get().ids());
         AtomicBoolean terminating = new AtomicBoolean();
@@ -96,6 +97,9 @@
             drain(fronts, balancer, upgrade.get(), counters);
         }, "drain"));
         boolean takesOver = upgrade.get().join();
+        if (takesOver) {
+            balancer.takeoverStarted();
+        }
         if (config.management() != null) {
             Workers.restartingThread("management", counters, new ManagementServer(config.management(), operations, counters)).start();
         }
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -26,8 +26,10 @@
 import holdmux.decision.SplitterApi.Remark;
 import holdmux.decision.SplitterApi.RespondError;
 import holdmux.decision.SplitterApi.Retract;
+import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.decision.SplitterApi.Schedule;
 import holdmux.decision.SplitterApi.SettingsChanged;
+import holdmux.decision.SplitterApi.TakeoverStarted;
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
 import holdmux.statement.Statement;
@@ -60,6 +62,8 @@
     private LongFunction<Upstream> upstreams;
     private WriteListener writeListener = write -> { };
     private long lastId;
+    /** The decision module's version of the servers' roles; written under the lock. */
+    private volatile long rolesVersion;
 
     /** Creates a balancer with these settings; {@code workers} run the probes. */
     public Balancer(Deployment deployment, long seed, Clock clock, Deadlines deadlines,
@@ -138,6 +142,58 @@
         }
     }
 
+    /** Returns what is known of the servers' roles, which a second process of this pooler must know. */
+    public RoleKnowledge roles() {
+        return new RoleKnowledge() {
+            @Override
+            public long version() {
+                return rolesVersion;
+            }
+
+            @Override
+            public List<RoleObserved> known() {
+                lock.lock();
+                try {
+                    return splitter.roles();
+                } finally {
+                    lock.unlock();
+                }
+            }
+
+            @Override
+            public void learn(RoleObserved role) {
+                lock.lock();
+                try {
+                    handleEvent(role);
+                } finally {
+                    lock.unlock();
+                }
+            }
+        };
+    }
+
+    /** Notes that this process takes over from another one, so that what only the list says of roles has to be proved. */
+    public void takeoverStarted() {
+        lock.lock();
+        try {
+            handleEvent(new TakeoverStarted());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Notes that the writes made through another process up to now are not known: session reads must see them all the same. */
+    public void writesUnknown() {
+        lock.lock();
+        try {
+            long now = clock.now();
+            splitter.lastWrites().stream().filter(write -> write.session() == 0)
+                    .forEach(floor -> handleEvent(new LastWrite(floor.group(), 0, now)));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Takes over a write that another process of this pooler answered. */
     public void applyWrite(LastWrite write) {
         lock.lock();
@@ -412,6 +468,7 @@
     private void handleEvent(Event event) {
         try {
             splitter.handle(clock.now(), List.of(event), this::performAction);
+            rolesVersion = splitter.rolesVersion();
         } catch (RuntimeException e) {
             // an exception in the decision module fails only the request that the event is about
             counters.count(Counter.INTERNAL_ERRORS);
--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -61,6 +61,8 @@
     private static final double MAX_EXPECTED_SHARE = 0.4;
     /** Shares of the permitted load of a cold store that all poolers together plan to use, steadily and in bursts. */
     private static final double COLD_STEADY_SHARE = 0.8, COLD_BURST_SHARE = 0.25;
+    /** Roles of stores not listed yet that are kept; more than the number of stores in a large deployment. */
+    private static final int MAX_EARLY_ROLES = 8_192;
     /** Sessions kept in a group; beyond that the least recently used is dropped and the floor raised to its token. */
     private static final int MAX_SESSIONS = 20_000;
     /** A request that no store has received is pending for at most this share of its time, enough for a probe to
@@ -115,8 +117,8 @@
         long appliedPosition;
         /** Estimated replication lag, when it was last observed, and when the next trial request is due. */
         long lag, lagEstimatedAt, nextTrialAt;
-        /** When an answer or a probe last denied that it is the primary; since when its role is uncertain, or 0. */
-        long leadershipDeniedAt, roleUncertainSince;
+        /** When it was last known to be no primary, and to be one; since when its role is uncertain, or 0. */
+        long leadershipDeniedAt, leadershipConfirmedAt, roleUncertainSince;
         int inFlight;
         /** Its connections that broke since its last answer. */
         int consecutiveResets;
@@ -148,6 +150,16 @@
             return availability == Availability.READY;
         }
 
+        /** Whether it is taken for the primary by the word of the list alone. */
+        boolean isUnprovenLeader() {
+            return group.leader == this && leadershipConfirmedAt == 0;
+        }
+
+        /** Whether the latest that is known of its role is that it is not the primary. */
+        boolean isKnownReplica() {
+            return leadershipDeniedAt > 0 && leadershipDeniedAt >= leadershipConfirmedAt;
+        }
+
         /** When it was last probed or last sent a report. */
         long lastCheckedAt() {
             return Math.max(probedAt, reportedAt);
@@ -218,6 +230,12 @@
 
     private Settings settings;
     private boolean storesCheckPosition, rolesReported;
+    /** Whether a primary that only the list names must confirm its role before reads rely on it. */
+    private boolean provesLeaders;
+    /** Incremented whenever a store is found to have another role. */
+    private long rolesVersion;
+    /** What another process of this pooler knows of the roles of stores that are not listed here yet. */
+    private final Map<Long, RoleObserved> earlyRoles = new HashMap<>();
     private final SplittableRandom random;
     private final Map<Long, Store> stores = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
@@ -296,6 +314,10 @@
                 onListChanged(e);
             } else if (event instanceof LastWrite e) {
                 onLastWrite(e);
+            } else if (event instanceof RoleObserved e) {
+                onRoleObserved(e);
+            } else if (event instanceof TakeoverStarted) {
+                onTakeoverStarted();
             } else if (event instanceof SettingsChanged e) {
                 applySettings(e.settings(), e.previousIndices());
             }
@@ -487,6 +509,71 @@
         return writes;
     }
 
+    /** Incremented whenever {@link #roles} has news of another role, not only of a later time. */
+    public long rolesVersion() {
+        return rolesVersion;
+    }
+
+    /** What is known of the stores' roles, which a second process of this pooler must know too. */
+    public List<RoleObserved> roles() {
+        List<RoleObserved> roles = new ArrayList<>();
+        for (Store store : stores.values()) {
+            if (store.isKnownReplica()) {
+                roles.add(new RoleObserved(store.id, Role.REPLICA, store.leadershipDeniedAt));
+            } else if (store.group.leader == store && store.roleUncertainSince > 0) {
+                roles.add(new RoleObserved(store.id, Role.UNKNOWN, store.roleUncertainSince));
+            } else if (store.group.leader == store && store.leadershipConfirmedAt > 0) {
+                roles.add(new RoleObserved(store.id, Role.PRIMARY, store.leadershipConfirmedAt));
+            }
+        }
+        return roles;
+    }
+
+    private void onRoleObserved(RoleObserved e) {
+        Store store = stores.get(e.store());
+        if (store == null) {
+            if (earlyRoles.size() < MAX_EARLY_ROLES) {
+                earlyRoles.put(e.store(), e);
+            }
+            return;
+        }
+        touchedGroups.add(store.group);
+        switch (e.role()) {
+            case PRIMARY -> {
+                markRoleCertain(store, store.leadershipConfirmedAt == 0 ? now : e.atNs());
+                markLeader(store, e.atNs());
+            }
+            case REPLICA -> markNotLeader(store, e.atNs());
+            default -> store.roleUncertainSince = e.atNs() <= store.leadershipConfirmedAt ? store.roleUncertainSince
+                    : Math.max(store.roleUncertainSince, e.atNs());
+        }
+    }
+
+    /** From now on a primary that only the list names has to answer a probe first, where probes tell roles. */
+    private void onTakeoverStarted() {
+        provesLeaders = settings.primaryField() >= 0 && settings.limits().probes();
+        groups.values().stream().map(group -> group.leader).filter(Objects::nonNull).forEach(this::requireRoleProof);
+    }
+
+    private void requireRoleProof(Store store) {
+        if (provesLeaders && store.isUnprovenLeader()) {
+            markRoleUncertain(store);
+        }
+    }
+
+    private void markRoleUncertain(Store store) {
+        rolesVersion += store.roleUncertainSince == 0 ? 1 : 0;
+        store.roleUncertainSince = now;
+    }
+
+    /** The store has stated its role at this time, which ends an uncertainty that began before. */
+    private void markRoleCertain(Store store, long atNs) {
+        if (store.roleUncertainSince > 0 && atNs >= store.roleUncertainSince) {
+            store.roleUncertainSince = 0;
+            rolesVersion++;
+        }
+    }
+
     private void onLastWrite(LastWrite e) {
         Group group = groups.computeIfAbsent(e.group(), g -> new Group());
         if (e.session() == 0) {
@@ -737,7 +824,11 @@
         rolesReported |= e.role() != Role.UNKNOWN;
         // an answer lost in a reset may have stated another role, and counts as received
         boolean answerLost = (rolesReported || settings.primaryField() >= 0) && e.outcome() == Outcome.RESET;
-        store.roleUncertainSince = e.role() != Role.UNKNOWN ? 0 : answerLost ? now : store.roleUncertainSince;
+        if (e.role() != Role.UNKNOWN) {
+            markRoleCertain(store, now);
+        } else if (answerLost) {
+            markRoleUncertain(store);
+        }
         if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // reported positions are rounded up
             store.appliedPosition = Math.max(store.appliedPosition, e.positionNs());
             if (e.role() == Role.REPLICA) {
@@ -775,12 +866,15 @@
     private void markLeader(Store store, long atNs) {
         Group group = store.group;
         if (atNs >= group.leaderConfirmedAt && atNs > store.leadershipDeniedAt) {
+            rolesVersion += group.leader != store || store.leadershipConfirmedAt <= store.leadershipDeniedAt ? 1 : 0;
+            store.leadershipConfirmedAt = atNs;
             group.leader = store;
             group.leaderConfirmedAt = atNs;
         }
     }
 
     private void markNotLeader(Store store, long atNs) {
+        rolesVersion += store.leadershipDeniedAt == 0 || !store.isKnownReplica() ? 1 : 0;
         store.leadershipDeniedAt = Math.max(store.leadershipDeniedAt, atNs);
         if (store.group.leader == store && atNs >= store.group.leaderConfirmedAt) {
             store.group.leader = null;
@@ -987,7 +1081,7 @@
             }
         }
         if (uncertain != null) {
-            probeStore(uncertain, !uncertain.verified);
+            probeStore(uncertain, !uncertain.verified || uncertain.isUnprovenLeader());
         }
         if (leastRecentlyChecked != null && now - leastRecentlyChecked.lastCheckedAt() >= 2 * MIN_PROBE_INTERVAL_NS
                 && probeBudget > PROBE_BURST / 2) {
@@ -1048,11 +1142,15 @@
         if (primary) {
             reportAgeNs += EWMA_ALPHA * (now - position - reportAgeNs);
             markLeader(store, Math.max(position, 1));
-            store.roleUncertainSince = position >= store.roleUncertainSince ? 0 : store.roleUncertainSince;
+            markRoleCertain(store, position);
         } else if (!fromLeader) {
             markNotLeader(store, now - 2 * (long) reportAgeNs);
             // the report may be older or newer than the store's own statement: it must confirm its role
-            store.roleUncertainSince = store.group.leader == store ? now : 0;
+            if (store.group.leader == store) {
+                markRoleUncertain(store);
+            } else {
+                markRoleCertain(store, now);
+            }
             if (store.lagEstimatedAt < now - reportAgeNs) {
                 setLag(store, Math.max(0, now - position - (long) reportAgeNs));
             }
@@ -1100,9 +1198,16 @@
                 && store.leadershipDeniedAt == 0;
         store.listedAsWriter = listing.writer();
         group.leader = newlyNamedWriter && settings.showsRole() ? store : group.leader;
+        if (newlyNamedWriter) {
+            requireRoleProof(store);
+        }
         if (!store.isReady() && group.leader == store) {
             markNotLeader(store, now);
         }
+        RoleObserved earlyRole = earlyRoles.remove(store.id);
+        if (earlyRole != null) {
+            onRoleObserved(earlyRole);
+        }
     }
 
     /** The list has removed a store; where that is only advisory, it stays in use but is no member while unhealthy. */
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -67,7 +67,8 @@
 
     /** Something that happened to this pooler. */
     public sealed interface Event permits ListChanged, Arrived, Answered, Checked, Wakeup, ClientLeft,
-            Started, PeerMessage, SettingsChanged, LastWrite, AbortRequest {}
+            Started, PeerMessage, SettingsChanged, LastWrite, AbortRequest, RoleObserved,
+            TakeoverStarted {}
 
     /** The server list or changes to it; empty if the call failed. */
     public record ListChanged(ListMode mode, long generation, List<Listing> lines) implements Event {}
@@ -101,6 +102,15 @@
     /** Position of a session's last write in another process of this pooler; session 0 stands for the group's floor. */
     public record LastWrite(int group, long session, long positionNs) implements Event {}
 
+    /**
+     * What another process of this pooler knows of a store's role, and the time that this is from; {@link Role#UNKNOWN}
+     * for a primary that may have stated another role since then.
+     */
+    public record RoleObserved(long store, Role role, long atNs) implements Event {}
+
+    /** This process takes over from another one of this pooler, which may have learned more than the list says. */
+    public record TakeoverStarted() implements Event {}
+
     /** A message from another pooler. */
     public record PeerMessage(int from, byte[] body) implements Event {}
 
--- a/pooler/src/main/java/holdmux/upgrade/Link.java
+++ b/pooler/src/main/java/holdmux/upgrade/Link.java
@@ -30,7 +30,9 @@
         /** A request of the older process uses this id. */
         ID_USED(false),
         /** The request with this id certainly never ran. */
-        ID_RELEASED(false);
+        ID_RELEASED(false),
+        /** The server {@code a} has the role with the ordinal {@code b}, as known at the time {@code c}; see {@link RoleSharing}. */
+        ROLE(false);
 
         final boolean needsAck;
 
@@ -45,9 +47,11 @@
     /** Size of an encoded frame: the kind and the sender's version as ints, and three longs. */
     static final int FRAME_BYTES = 2 * Integer.BYTES + 3 * Long.BYTES;
     /** The version of this program's frames; older programs send 0 and close the link on a kind that they do not know. */
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
     /** The first version that knows the frames about request ids. */
     private static final int FIRST_VERSION_WITH_IDS = 1;
+    /** The first version that knows the frames about servers' roles. */
+    private static final int FIRST_VERSION_WITH_ROLES = 2;
 
     private final SocketChannel channel;
     private final ByteBuffer in = ByteBuffer.allocate(FRAME_BYTES);
@@ -87,6 +91,11 @@
         return peerVersion >= FIRST_VERSION_WITH_IDS;
     }
 
+    /** Whether the other process has shown that it knows the frames about servers' roles. */
+    boolean peerSharesRoles() {
+        return peerVersion >= FIRST_VERSION_WITH_ROLES;
+    }
+
     static ByteBuffer encode(Frame frame) {
         return ByteBuffer.allocate(FRAME_BYTES).putInt(frame.kind().ordinal()).putInt(VERSION).putLong(frame.a())
                 .putLong(frame.b()).putLong(frame.c()).flip();
--- a/pooler/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/pooler/src/main/java/holdmux/upgrade/Upgrade.java
@@ -8,6 +8,7 @@
 import holdmux.core.Log;
 import holdmux.core.OtherProcess;
 import holdmux.core.RequestIds;
+import holdmux.core.RoleKnowledge;
 import holdmux.core.Workers;
 import holdmux.core.WriteListener;
 import holdmux.decision.SplitterApi.LastWrite;
@@ -30,7 +31,7 @@
 /**
  * Coordinates two processes of one pooler that overlap while a new version starts under load. The older process listens on
  * a Unix domain socket in their common directory, where the newer one finds it. They exchange the writes of sessions,
- * changes of the operators' orders and their usage of the common connection limits.
+ * changes of the operators' orders, the roles of servers and their usage of the common connection limits.
  */
 public final class Upgrade implements WriteListener {
     /**
@@ -42,9 +43,12 @@
      * @param clientConnections client connections open here
      * @param serverConnections server connections open here
      * @param ids               the ids of the requests known here
+     * @param roles             the roles of servers known here
+     * @param writesUnknown     called if the older process has not told its writes
      */
     public record LocalState(Supplier<List<LastWrite>> writes, Consumer<LastWrite> recordWrite, Runnable refreshOrders,
-            IntSupplier clientConnections, IntSupplier serverConnections, RequestIds ids) {}
+            IntSupplier clientConnections, IntSupplier serverConnections, RequestIds ids, RoleKnowledge roles,
+            Runnable writesUnknown) {}
 
     /** How long an acknowledgement is awaited; far longer than a garbage collection pause on half a core. */
     private static final long ACK_TIMEOUT_MS = 500;
@@ -66,7 +70,9 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final IdSharing ids;
+    /** Released once the older process has sent its state or is gone, and whether it has sent it. */
     private final CountDownLatch synced = new CountDownLatch(1);
+    private volatile boolean receivedAllWrites;
     /**
      * Guarded by this object's monitor, as are the next two: the link to the other process (null if there is none), the
      * number of acknowledgements received on it, and whether the other process serves clients.
@@ -116,10 +122,12 @@
         return null;
     }
 
-    /** Waits until the older process has sent all writes that the reads of a session depend on. */
+    /** Waits until the older process has sent all that the reads of a session depend on, or is gone. */
     public void awaitSynced() throws InterruptedException {
-        if (!synced.await(SYNC_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
-            Log.warn("upgrade: the older process has not told its writes in time");
+        boolean ended = synced.await(SYNC_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        if (!ended || !receivedAllWrites) {
+            Log.warn("upgrade: the older process has not told its writes" + (ended ? " before its end" : " in time"));
+            local.writesUnknown().run();
         }
     }
 
@@ -156,11 +164,6 @@
                     Link newer = new Link(server.accept());
                     attach(newer);
                     Log.info("upgrade: a newer process has started");
-                    // writes from here on are sent as they happen; earlier ones are in this list
-                    for (LastWrite write : local.writes().get()) {
-                        send(new Frame(Kind.PAST_WRITE, write.group(), write.session(), write.positionNs()));
-                    }
-                    send(new Frame(Kind.SYNCED, 0, 0, 0));
                     receiveUntilClosed(newer, false);
                 }
             } catch (IOException | RuntimeException e) {
@@ -178,16 +181,19 @@
 
     /** Handles frames from the other process until the link is closed. */
     private void receiveUntilClosed(Link link, boolean peerIsOlder) {
-        Workers.newThread("upgrade holds", () -> reportUsage(link)).start();
+        RoleSharing roles = new RoleSharing(local.roles(), this::send, link);
+        Workers.newThread("upgrade holds", () -> reportChanges(link, roles)).start();
         try {
-            boolean sharesIds = false;
+            Frame frame = link.receive(); // its first frame tells its version
+            if (link.peerSharesIds()) {
+                ids.begin(link, peerIsOlder);
+            }
+            if (!peerIsOlder) {
+                sendState(link, roles);
+            }
             while (true) {
-                Frame frame = link.receive();
-                if (!sharesIds && link.peerSharesIds()) {
-                    sharesIds = true;
-                    ids.begin(link, peerIsOlder);
-                }
-                handle(link, frame);
+                handle(link, frame, roles);
+                frame = link.receive();
             }
         } catch (IOException | RuntimeException e) {
             Log.info("upgrade: the other process is gone: " + e.getMessage());
@@ -197,15 +203,28 @@
         }
     }
 
-    private void handle(Link link, Frame frame) {
+    /** Sends a newer process what it has to know before it serves; what happens from here on is sent as it happens. */
+    private void sendState(Link link, RoleSharing roles) {
+        roles.sendChanges();
+        for (LastWrite write : local.writes().get()) {
+            send(link, new Frame(Kind.PAST_WRITE, write.group(), write.session(), write.positionNs()));
+        }
+        send(link, new Frame(Kind.SYNCED, 0, 0, 0));
+    }
+
+    private void handle(Link link, Frame frame, RoleSharing roles) {
         switch (frame.kind()) {
             case PAST_WRITE, PENDING_WRITE -> local.recordWrite().accept(new LastWrite((int) frame.a(), frame.b(), frame.c()));
             case ORDERS_CHANGED -> local.refreshOrders().run();
             case ACK -> countAck();
-            case SYNCED -> synced.countDown();
+            case SYNCED -> {
+                receivedAllWrites = true;
+                synced.countDown();
+            }
             case USAGE -> otherProcess.update((int) frame.a(), (int) frame.b());
             case SERVING -> markPeerServing();
             case CLAIM_ID, ID_VERDICT, ID_USED, ID_RELEASED -> ids.handle(link, frame);
+            case ROLE -> roles.handle(frame);
         }
         if (frame.kind().needsAck) {
             send(new Frame(Kind.ACK, 0, 0, 0));
@@ -288,7 +307,8 @@
         }
     }
 
-    private void reportUsage(Link link) {
+    /** Reports usage and roles to the other process as they change. */
+    private void reportChanges(Link link, RoleSharing roles) {
         Frame lastSent = null;
         while (true) {
             synchronized (this) {
@@ -301,6 +321,7 @@
                 send(usage);
                 lastSent = usage;
             }
+            roles.sendChanges();
             pause(USAGE_INTERVAL_MS);
         }
     }
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -12,9 +12,12 @@
 import holdmux.core.IdClaims;
 import holdmux.core.OtherProcess;
 import holdmux.core.RequestId;
+import holdmux.core.RoleKnowledge;
 import holdmux.core.Workers;
 import holdmux.decision.SplitterApi.Effect;
 import holdmux.decision.SplitterApi.LastWrite;
+import holdmux.decision.SplitterApi.Role;
+import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.statement.ChunkedText;
 import holdmux.statement.Statement;
 import holdmux.statement.StatementException;
@@ -33,6 +36,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -47,10 +51,33 @@
 
 @Timeout(20)
 class UpgradeTest {
+    /** The roles known to one of the two processes. */
+    private static final class TestRoles implements RoleKnowledge {
+        final List<RoleObserved> known = new CopyOnWriteArrayList<>();
+        final List<RoleObserved> learned = new CopyOnWriteArrayList<>();
+
+        @Override
+        public long version() {
+            return known.size();
+        }
+
+        @Override
+        public List<RoleObserved> known() {
+            return known;
+        }
+
+        @Override
+        public void learn(RoleObserved role) {
+            learned.add(role);
+        }
+    }
+
     /** One of the two processes, reduced to its side of the link. */
     private static final class TestProcess {
         final List<LastWrite> receivedWrites = Collections.synchronizedList(new ArrayList<>());
         final AtomicInteger orderRefreshes = new AtomicInteger();
+        final AtomicInteger writesUnknown = new AtomicInteger();
+        final TestRoles roles = new TestRoles();
         final OtherProcess otherProcess = new OtherProcess();
         final Counters counters = new Counters();
         final IdClaims claims = new IdClaims(new Clock(), counters);
@@ -60,7 +87,8 @@
             Deadlines deadlines = new Deadlines(new Clock());
             Workers.newThread("deadlines", deadlines::run).start();
             upgrade = new Upgrade(directory, new Upgrade.LocalState(() -> List.of(existingWrites), receivedWrites::add,
-                    orderRefreshes::incrementAndGet, () -> clients, () -> 2 * clients, claims.ids()), otherProcess, deadlines, counters);
+                    orderRefreshes::incrementAndGet, () -> clients, () -> 2 * clients, claims.ids(), roles, writesUnknown::incrementAndGet),
+                    otherProcess, deadlines, counters);
             claims.setPeer(upgrade.ids());
         }
     }
@@ -98,6 +126,40 @@
         assertEquals(0, processes[0].counters.get(Counter.UPGRADE_WORDS_MISSED));
     }
 
+    /** Guards against a newer process that trusts the list where the older one knows that the primary is another. */
+    @Test
+    void rolesReachTheOtherProcess(@TempDir Path directory) throws Exception {
+        TestProcess older = new TestProcess(directory, 7);
+        RoleObserved before = new RoleObserved(2, Role.REPLICA, 100);
+        older.roles.known.add(before);
+        older.upgrade.join();
+        TestProcess newer = new TestProcess(directory, 3);
+        waitUntil(() -> Files.exists(directory.resolve("holdmux.sock")));
+        newer.upgrade.join();
+        newer.upgrade.awaitSynced();
+        assertEquals(List.of(before), newer.roles.learned, "known before the newer process serves");
+        assertEquals(0, newer.writesUnknown.get());
+        RoleObserved later = new RoleObserved(3, Role.PRIMARY, 200);
+        newer.roles.known.add(later);
+        waitUntil(() -> older.roles.learned.equals(List.of(later)));
+        older.roles.known.add(later);
+        waitUntil(() -> newer.roles.learned.equals(List.of(before, later)));
+    }
+
+    /** Guards against serving sessions as if none had written, where the older process ends before it has told its writes. */
+    @Test
+    void anOlderProcessThatEndsEarlyLeavesItsWritesUnknown(@TempDir Path directory) throws Exception {
+        try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            server.bind(UnixDomainSocketAddress.of(directory.resolve("holdmux.sock")));
+            TestProcess newer = new TestProcess(directory, 1);
+            assertTrue(newer.upgrade.join());
+            server.accept().close();
+            newer.upgrade.awaitSynced();
+            assertEquals(1, newer.writesUnknown.get());
+            waitUntil(() -> Files.exists(directory.resolve("holdmux.sock")));
+        }
+    }
+
     /** Changes of orders, connection counts and the start of serving reach the other process, so that orders and limits hold for both. */
     @Test
     void exchangesOrdersAndUsage(@TempDir Path directory) throws Exception {
