--- a/pooler/src/main/java/holdmux/pg/ClientOutput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientOutput.java
@@ -19,10 +19,16 @@
     /** A client that does not accept a chunk within this time is disconnected, which frees the writing thread. */
     private static final int WRITE_TIMEOUT_MS = 5_000;
     private static final int CHUNK_BYTES = 16 * 1024;
+    /** The slowest rate at which clients are expected to read what the system holds for them, and the most that it holds for one. */
+    private static final long MIN_READ_BYTES_PER_MS = 256, MAX_HELD_BYTES = 4 * 1024 * 1024;
+    /** A write that takes longer than this has waited for the client: the system holds as much as it takes. */
+    private static final long BLOCKED_WRITE_NS = 5 * Clock.MS;
 
     private final OutputStream out;
     private final Deadlines deadlines;
     private final Runnable onTimeout;
+    /** When a client that reads at the slowest rate expected will have received all that was written. */
+    private long readUntil;
 
     /** {@code onTimeout} closes the connection of a client that does not accept its data in time. */
     ClientOutput(OutputStream out, Deadlines deadlines, Runnable onTimeout) {
@@ -39,15 +45,34 @@
     @Override
     public void write(byte[] bytes, int offset, int length) throws IOException {
         for (int written = 0; written < length; written += CHUNK_BYTES) {
+            int chunk = Math.min(CHUNK_BYTES, length - written);
+            long startNs = deadlines.now();
             Deadlines.Deadline timeout = deadlines.after(WRITE_TIMEOUT_MS * Clock.MS, onTimeout);
             try {
-                out.write(bytes, offset + written, Math.min(CHUNK_BYTES, length - written));
+                out.write(bytes, offset + written, chunk);
             } finally {
                 deadlines.cancel(timeout);
             }
+            noteWritten(chunk, startNs);
         }
     }
 
+    private synchronized void noteWritten(int bytes, long startNs) {
+        long now = deadlines.now();
+        long latest = now + readTimeNs(MAX_HELD_BYTES);
+        boolean isFull = now - startNs > BLOCKED_WRITE_NS;
+        readUntil = isFull ? latest : Math.min(latest, Math.max(now, readUntil) + readTimeNs(bytes));
+    }
+
+    private static long readTimeNs(long bytes) {
+        return bytes * Clock.MS / MIN_READ_BYTES_PER_MS;
+    }
+
+    /** How long, in nanoseconds, the client may still need to receive all that was written; bounded, whatever it reads. */
+    synchronized long remainingReadNs() {
+        return Math.max(0, readUntil - deadlines.now());
+    }
+
     /** Composes and writes one or more short messages. */
     void writeMessage(Consumer<MessageBuilder> composer) throws IOException {
         writeMessage(MESSAGE_BYTES, composer);
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -52,8 +52,8 @@
      * few commands; the limits of all clients add up to a few MiB. Commands above the limits are refused in order, up to
      * {@code MAX_PENDING_REFUSALS} of them. */
     private static final int MAX_QUEUED = 32, MAX_QUEUED_BYTES = 8_192, MAX_PENDING_REFUSALS = 10_000;
-    /** How long a connection waits for the client's close after its own output is shut down: several round trips. */
-    private static final long LINGER_NS = 150 * Clock.MS;
+    /** How long a connection waits at least for the client's close after its own output is shut down: several round trips. */
+    private static final long MIN_LINGER_NS = 150 * Clock.MS;
     private static final ProtocolException TOO_MANY_COMMANDS =
             ProtocolException.refused(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
     private static final ProtocolException READ_TOO_LATE =
@@ -279,11 +279,11 @@
             try {
                 answer(command);
             } catch (IOException e) {
-                abort(); // the client can no longer be reached
+                endEarly(); // the client can no longer be reached, or this answer broke
             } catch (RuntimeException | Error e) {
                 counters.count(Counter.INTERNAL_ERRORS);
                 Log.error("an answer failed here", e);
-                abort();
+                endEarly();
             } finally {
                 command.release(context.buffers());
             }
@@ -473,7 +473,7 @@
                     out.writeScalar((ScalarResult) result, statement.write);
                 }
             } catch (IOException e) {
-                abort(); // the client has to see that the answer is incomplete
+                endEarly(); // the client has to see that the answer is incomplete
                 throw e;
             }
         }
@@ -517,12 +517,14 @@
 
     /**
      * Closes a connection marked as ended on which nothing is being read or answered: first the output alone. Input that
-     * arrives meanwhile is never accepted, and the client sends it again on another connection.
+     * arrives meanwhile is never accepted, and the client sends it again on another connection. Input that arrives once the socket is
+     * closed resets the connection, which discards what the system still holds for the client; so a client is given the time to
+     * read that, or closes its side before.
      */
     private void closeGracefully() {
         try {
             socket.shutdownOutput();
-            context.deadlines().after(LINGER_NS, this::close);
+            context.deadlines().after(Math.max(MIN_LINGER_NS, out.remainingReadNs()), this::close);
         } catch (IOException e) {
             close();
         }
@@ -530,9 +532,24 @@
 
     /** Closes the connection at once; cancels the request in progress and discards the queued commands. */
     private void abort() {
+        discardRequests();
+        close();
+    }
+
+    /** Like {@link #abort}, but leaves the client the time to read the answers that it was given before. */
+    private void endEarly() {
+        if (discardRequests()) {
+            closeGracefully();
+        }
+    }
+
+    /** Ends the session for requests: cancels the one in progress and discards the queued ones. False if it had ended before. */
+    private boolean discardRequests() {
+        boolean first;
         Request request;
         List<ClientCommand> discarded;
         synchronized (this) {
+            first = !ended;
             ended = true;
             request = currentRequest;
             discarded = List.copyOf(queue);
@@ -545,7 +562,7 @@
         if (request != null) {
             context.balancer().clientLeft(request);
         }
-        close();
+        return first;
     }
 
     /** Closes the connection as soon as it is idle. */
--- a/pooler/src/test/java/holdmux/pg/PoolerFixture.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerFixture.java
@@ -195,6 +195,14 @@
         message.writeTo(socket.getOutputStream());
     }
 
+    static byte[] longRow(int value) {
+        MessageBuilder message = new MessageBuilder(new byte[value + 1_000]);
+        AnswerTest.result(message, "v".repeat(value)).readyForQuery();
+        byte[] bytes = new byte[message.bytes().remaining()];
+        message.bytes().get(bytes);
+        return bytes;
+    }
+
     static void startup(MessageBuilder message) {
         message.beginUntyped().put(MessageBuilder.PROTOCOL_3).put("user").put("portal").put('\0').end();
     }
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -161,14 +161,6 @@
         }
     }
 
-    private static byte[] longRow(int value) {
-        MessageBuilder message = new MessageBuilder(new byte[value + 1_000]);
-        AnswerTest.result(message, "v".repeat(value)).readyForQuery();
-        byte[] bytes = new byte[message.bytes().remaining()];
-        message.bytes().get(bytes);
-        return bytes;
-    }
-
     /** Guards against buffering long values completely, a few of which would exhaust the memory. */
     @Test
     void aLongAnswerIsStreamed() throws Exception {
