--- a/pooler/src/main/java/holdmux/pg/ClientInput.java
+++ b/pooler/src/main/java/holdmux/pg/ClientInput.java
@@ -116,6 +116,11 @@
         return readAhead[readPosition++] & 0xff;
     }
 
+    /** Whether input has been read that no message has taken yet. */
+    boolean hasBuffered() {
+        return readPosition < readLimit;
+    }
+
     /** Starts the limits for the current message: the total time, and the longest pause between two reads. */
     void setTimeLimits(long totalMs, long maxPauseMs) {
         deadline = clock.now() + totalMs * Clock.MS;
--- a/pooler/src/main/java/holdmux/pg/ClientRegistry.java
+++ b/pooler/src/main/java/holdmux/pg/ClientRegistry.java
@@ -108,7 +108,7 @@
         long now = clock.now();
         if (open.size() >= capacity()) {
             // a connection without any well-formed request must not keep out clients that have one
-            List.copyOf(withoutRequest.keySet()).stream().filter(ClientSession::closeUnlessAnswering).findFirst()
+            List.copyOf(withoutRequest.keySet()).stream().filter(ClientSession::closeUnlessOwed).findFirst()
                     .ifPresent(this::remove);
         }
         if (open.size() >= capacity()) {
--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -18,9 +18,8 @@
 import holdmux.statement.StatementException;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -48,10 +47,6 @@
     /** Time-out for the head of a message and for a pause within one. Clients may pause for up to 2 s, and a stalled message
      * has to be ended within 3 s. */
     private static final int MAX_PAUSE_MS = 2_600;
-    /** Limits on the commands and bytes queued on one connection behind the command being answered. Pipelining drivers send a
-     * few commands; the limits of all clients add up to a few MiB. Commands above the limits are refused in order, up to
-     * {@code MAX_PENDING_REFUSALS} of them. */
-    private static final int MAX_QUEUED = 32, MAX_QUEUED_BYTES = 8_192, MAX_PENDING_REFUSALS = 10_000;
     /** How long a connection waits at least for the client's close after its own output is shut down: several round trips. */
     private static final long MIN_LINGER_NS = 150 * Clock.MS;
     private static final ProtocolException TOO_MANY_COMMANDS =
@@ -64,18 +59,7 @@
     private final ClientInput in;
     private final QueryReader queries;
     private final ClientOutput out;
-    // The fields from here on are guarded by this object's monitor.
-
-    /** Commands to answer: at most MAX_QUEUED in the queue, then refusals of those above the limits, then the final command. */
-    private final ArrayDeque<ClientCommand> queue = new ArrayDeque<>(2);
-    private int queuedBytes, pendingRefusals;
-    private ClientCommand finalCommand;
-    /** Whether a message is being read, commands are being answered, too many commands were sent at once, the connection is to
-     * be closed when all commands are answered, and the connection has ended, after which no input is accepted. */
-    private boolean reading, answering, overloaded, closing, ended;
-    private Request currentRequest;
-    /** Whether the client has cancelled the current request. */
-    private boolean cancelRequested;
+    private final SessionState state = new SessionState(ClientCommand.invalid(TOO_MANY_COMMANDS));
 
     ClientSession(Socket socket, Context context) throws IOException {
         this.socket = socket;
@@ -98,7 +82,7 @@
             }
             discardInput();
         } catch (ProtocolException e) {
-            enqueue(ClientCommand.invalid(e), true);
+            enqueueFinal(ClientCommand.invalid(e));
             discardInput();
         } catch (IOException e) {
             abort(); // disconnected by either side
@@ -152,6 +136,7 @@
             throw ProtocolException.fatal(SqlState.INVALID_AUTHORIZATION, "no user name in startup packet");
         }
         out.writeGreeting(protocolVersion, context.clients().issueCancelKey(this));
+        state.awaitMessage(in.hasBuffered());
     }
 
     private static boolean hasUser(byte[] parameters) throws ProtocolException {
@@ -171,7 +156,7 @@
     /** Reads one message; false if no further message is to be read. */
     private boolean readMessage() throws IOException, ProtocolException {
         int type = in.awaitFirstByte();
-        if (!beginMessage()) {
+        if (!state.beginMessage()) {
             return false;
         }
         in.setTimeLimits(MAX_PAUSE_MS, MAX_PAUSE_MS);
@@ -183,21 +168,25 @@
         }
         switch (type) {
             case 'Q' -> {
-                if (canQueue()) {
-                    enqueue(parse(queries.read(length)), false);
+                if (state.canQueue()) {
+                    QueryReader.Query query = queries.read(length);
+                    state.messageReceived();
+                    enqueue(parse(query));
                 } else {
                     queries.skip(length);
+                    state.messageReceived();
                     enqueueRefusal();
                 }
             }
             case 'X' -> {
-                enqueue(ClientCommand.of(ClientCommand.Kind.TERMINATE), true);
+                enqueueFinal(ClientCommand.of(ClientCommand.Kind.TERMINATE));
                 return false;
             }
             case 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f', 'p' -> throw ProtocolException.fatal(
                     SqlState.FEATURE_NOT_SUPPORTED, "only the simple query protocol is supported");
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "unexpected message type " + type);
         }
+        state.awaitMessage(in.hasBuffered());
         return true;
     }
 
@@ -218,57 +207,39 @@
         return forwarded ? command.delayedBy(waitedNs) : ClientCommand.invalid(READ_TOO_LATE);
     }
 
-    /** Whether another command can be queued. Once one is refused, all are until the queue is empty. */
-    private synchronized boolean canQueue() {
-        overloaded |= queue.size() >= MAX_QUEUED;
-        return pendingRefusals == 0 && !overloaded && queuedBytes <= MAX_QUEUED_BYTES;
-    }
-
     /** Notes a command that was not queued; it is refused in order, after the queued ones. */
     private void enqueueRefusal() throws ProtocolException {
-        synchronized (this) {
-            if (pendingRefusals == MAX_PENDING_REFUSALS) {
-                throw ProtocolException.fatal(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
-            }
-            reading = false;
-            pendingRefusals++;
+        SessionState.Offer offer = state.offerRefusal();
+        if (offer == null) {
+            throw ProtocolException.fatal(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
         }
-        scheduleAnswering();
+        handle(offer, null);
     }
 
-    /** Queues a command, or the final one behind all others and all refusals, and makes sure that a worker answers it. */
-    private void enqueue(ClientCommand command, boolean isFinal) {
-        synchronized (this) {
-            reading = false;
-            if (ended) {
-                command.release(context.buffers()); // the output is shut down, so the command must not be forwarded
-                return;
-            }
-            if (isFinal) {
-                finalCommand = command;
-            } else {
-                queue.add(command);
-                queuedBytes += command.length();
-            }
-        }
-        scheduleAnswering();
+    private void enqueue(ClientCommand command) {
+        handle(state.offer(command), command);
     }
 
-    /** Starts answering on a worker thread unless one does so already. */
-    private void scheduleAnswering() {
-        synchronized (this) {
-            if (answering) {
-                return;
-            }
-            answering = true;
+    /** Queues the final command, behind all others and all refusals. */
+    private void enqueueFinal(ClientCommand command) {
+        handle(state.offerFinal(command), command);
+    }
+
+    /** Makes sure that a worker answers the queue, or drops a command that could not be answered any more. */
+    private void handle(SessionState.Offer offer, ClientCommand command) {
+        if (offer == SessionState.Offer.DROPPED && command != null) {
+            command.release(context.buffers()); // the output is shut down, so the command must not be forwarded
+        } else if (offer == SessionState.Offer.TO_ANSWER) {
+            startAnswering();
         }
+    }
+
+    private void startAnswering() {
         try {
             context.workers().execute(this::answerQueued);
         } catch (RejectedExecutionException e) {
             // no worker available: the reader refuses the queued commands itself, which does not block it
-            synchronized (this) {
-                overloaded = true;
-            }
+            state.overload();
             answerQueued();
         }
     }
@@ -292,38 +263,13 @@
 
     /** The next command to answer, or null; then the connection is idle, or is closed if that was requested. */
     private ClientCommand nextCommand() {
-        boolean endNow;
-        synchronized (this) {
-            ClientCommand command = pollQueue();
-            if (command != null) {
-                return command;
+        ClientCommand command = state.nextCommand();
+        if (command == null) {
+            if (state.endIfRequested(context.clients().closesIdleSessions())) {
+                closeGracefully();
+            } else if (!state.isClosed()) {
+                context.clients().markIdle(this);
             }
-            answering = false;
-            overloaded = false;
-            if (ended) {
-                return null;
-            }
-            endNow = (closing || context.clients().closesIdleSessions()) && !reading;
-            ended = endNow;
-        }
-        if (endNow) {
-            closeGracefully();
-        } else {
-            context.clients().markIdle(this);
-        }
-        return null;
-    }
-
-    private ClientCommand pollQueue() {
-        ClientCommand command = queue.poll();
-        if (command != null) {
-            queuedBytes -= command.length();
-        } else if (pendingRefusals > 0) {
-            pendingRefusals--;
-            command = ClientCommand.invalid(TOO_MANY_COMMANDS);
-        } else {
-            command = finalCommand;
-            finalCommand = null;
         }
         return command;
     }
@@ -332,22 +278,14 @@
         if (command.kind() == ClientCommand.Kind.INVALID) {
             rejectInput(command.error());
         } else if (command.kind() == ClientCommand.Kind.TERMINATE) {
-            closeAfterQueue();
-        } else if (isOverloaded()) {
+            state.requestClose();
+        } else if (state.isOverloaded()) {
             rejectInput(TOO_MANY_COMMANDS);
         } else {
             answerQuery(command);
         }
     }
 
-    private synchronized boolean isOverloaded() {
-        return overloaded;
-    }
-
-    private synchronized void closeAfterQueue() {
-        closing = true;
-    }
-
     private void answerQuery(ClientCommand command) throws IOException {
         if (command.kind() == ClientCommand.Kind.EMPTY_QUERY) {
             answerEmptyQuery();
@@ -393,43 +331,25 @@
         long timeLeftNs = context.clients().timeLeftNs();
         if (timeLeftNs <= 0 || timeLeftNs < Admission.remainingWaitNs(statement) && statement.write) {
             // the outcome could not be reported before the shutdown; another pooler can take the request
-            closeAfterQueue();
+            state.requestClose();
             out.writeError(SqlState.CANNOT_CONNECT_NOW, "the pooler is shutting down", 0);
             return;
         }
         Request request = context.balancer().openRequest(spec, command.claim(), in::unnoticedCloseNs);
-        if (!startRequest(request)) {
+        if (!state.startRequest(request)) {
             context.balancer().clientLeft(request);
         }
         PgResponder responder = new PgResponder(statement);
         context.balancer().execute(request, statement, responder);
-        if (finishRequest() && !responder.answered) {
+        if (state.finishRequest() && !responder.answered) {
             counters.count(Counter.QUERIES_CANCELED);
             out.writeError(SqlState.QUERY_CANCELED, "canceling statement due to user request", 0);
         }
     }
 
-    /** Notes the request in progress; false if the client has disconnected. */
-    private synchronized boolean startRequest(Request request) {
-        currentRequest = request;
-        return !ended;
-    }
-
-    /** Notes that the request has ended; whether its client cancelled it and is still connected. */
-    private synchronized boolean finishRequest() {
-        boolean wasCancelled = cancelRequested;
-        currentRequest = null;
-        cancelRequested = false;
-        return wasCancelled && !ended;
-    }
-
     /** Handles a CancelRequest: cancels the request in progress, if any, and keeps the connection open. */
     void cancel() {
-        Request request;
-        synchronized (this) {
-            request = currentRequest;
-            cancelRequested = request != null;
-        }
+        Request request = state.cancelRequest();
         if (request != null) {
             context.balancer().clientLeft(request);
         }
@@ -499,7 +419,7 @@
             Log.warn("client " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
         }
         if (!e.framingIntact) {
-            closeAfterQueue();
+            state.requestClose();
         }
         out.writeMessage(message -> {
             message.error(!e.framingIntact, e.sqlState, e.getMessage(), null);
@@ -509,12 +429,6 @@
         });
     }
 
-    /** Notes the start of a message; false if the connection has ended and the message must be ignored. */
-    private synchronized boolean beginMessage() {
-        reading = !ended;
-        return reading;
-    }
-
     /**
      * Closes a connection marked as ended on which nothing is being read or answered: first the output alone. Input that
      * arrives meanwhile is never accepted, and the client sends it again on another connection. Input that arrives once the socket is
@@ -543,56 +457,56 @@
         }
     }
 
-    /** Ends the session for requests: cancels the one in progress and discards the queued ones. False if it had ended before. */
+    /** Cancels the request in progress and discards the queued ones; false if the session had ended before. */
     private boolean discardRequests() {
-        boolean first;
-        Request request;
-        List<ClientCommand> discarded;
-        synchronized (this) {
-            first = !ended;
-            ended = true;
-            request = currentRequest;
-            discarded = List.copyOf(queue);
-            queue.clear();
-            queuedBytes = 0;
-            pendingRefusals = 0;
-            finalCommand = null;
-        }
-        discarded.forEach(command -> command.release(context.buffers()));
-        if (request != null) {
-            context.balancer().clientLeft(request);
+        SessionState.Remains remains = state.end();
+        remains.commands().forEach(command -> command.release(context.buffers()));
+        if (remains.request() != null) {
+            context.balancer().clientLeft(remains.request());
         }
-        return first;
+        return remains.first();
     }
 
     /** Closes the connection as soon as it is idle. */
     void closeWhenIdle() {
-        closeAfterQueue();
+        state.requestClose();
         closeIfIdle();
     }
 
     /** Closes the connection if no message is being read or answered on it; whether it was closed. */
     boolean closeIfIdle() {
-        synchronized (this) {
-            if (reading || answering || ended) {
-                return false;
-            }
-            ended = true;
+        boolean isStarting = state.isStarting();
+        if (!state.endIfIdle()) {
+            return false;
+        }
+        if (isStarting) {
+            closeWithReset();
+        } else {
+            closeGracefully();
         }
-        closeGracefully();
         return true;
     }
 
-    /** Closes the connection of a client without a well-formed request; false while an error is being reported to it. */
-    boolean closeUnlessAnswering() {
-        synchronized (this) {
-            if (answering) {
-                return false;
-            }
-            ended = true; // at most part of a message was read; no input is accepted from now on
+    /** Closes the connection of a client without a well-formed request; false while one that was read, or an error, is to be answered. */
+    boolean closeUnlessOwed() {
+        boolean ends = state.endUnlessOwed();
+        if (ends) {
+            closeWithReset();
+        }
+        return ends;
+    }
+
+    /**
+     * Closes the connection at once and in a way that tells the client that nothing which it sent counts: some of it may have been
+     * received by the system, or read in this very moment.
+     */
+    private void closeWithReset() {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (SocketException e) {
+            // closed already
         }
         close();
-        return true;
     }
 
     /** Closes the socket and removes the session from the registry. */
