--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -20,6 +20,7 @@
 import holdmux.decision.SplitterApi.Event;
 import holdmux.decision.SplitterApi.Inspect;
 import holdmux.decision.SplitterApi.LastWrite;
+import holdmux.decision.SplitterApi.LateStatus;
 import holdmux.decision.SplitterApi.ListChanged;
 import holdmux.decision.SplitterApi.Listing;
 import holdmux.decision.SplitterApi.Outcome;
@@ -29,6 +30,7 @@
 import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.decision.SplitterApi.Schedule;
 import holdmux.decision.SplitterApi.SettingsChanged;
+import holdmux.decision.SplitterApi.StatusOverdue;
 import holdmux.decision.SplitterApi.TakeoverStarted;
 import holdmux.decision.SplitterApi.Transmit;
 import holdmux.decision.SplitterApi.Wakeup;
@@ -48,6 +50,9 @@
  * {@link Upstream} runs the attempts.
  */
 public final class Balancer {
+    /** What a server has written counts as known 100 ms later, whether or not it was read; the rest is for the next send. */
+    private static final long STATUS_DUE_NS = 75 * Clock.MS;
+
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
@@ -162,24 +167,14 @@
 
             @Override
             public void learn(RoleObserved role) {
-                lock.lock();
-                try {
-                    handleEvent(role);
-                } finally {
-                    lock.unlock();
-                }
+                submitEvent(role);
             }
         };
     }
 
     /** Notes that this process takes over from another one, so that what only the list says of roles has to be proved. */
     public void takeoverStarted() {
-        lock.lock();
-        try {
-            handleEvent(new TakeoverStarted());
-        } finally {
-            lock.unlock();
-        }
+        submitEvent(new TakeoverStarted());
     }
 
     /** Notes that the writes made through another process up to now are not known: session reads must see them all the same. */
@@ -196,12 +191,7 @@
 
     /** Takes over a write that another process of this pooler answered. */
     public void applyWrite(LastWrite write) {
-        lock.lock();
-        try {
-            handleEvent(write);
-        } finally {
-            lock.unlock();
-        }
+        submitEvent(write);
     }
 
     /** Returns the deployment that applies to new requests. */
@@ -278,7 +268,7 @@
                     reportWrite(request.spec, attemptResult.reply());
                     if (attemptResult.reply().outcome() == Outcome.OK) {
                         answerStarted = true;
-                        deliver(attemptResult.queryResult(), responder);
+                        deliver(attempt, attemptResult.queryResult(), responder);
                         return;
                     }
                 } else if (step instanceof Request.End end && end.answer() instanceof Decline decline) {
@@ -329,7 +319,7 @@
     }
 
     /** Sends the final answer of a request that has run: its result, or a failure if the result fits no front. */
-    private void deliver(QueryResult result, Responder responder) throws IOException {
+    private void deliver(Attempt attempt, QueryResult result, Responder responder) throws IOException {
         if (result == null) {
             counters.count(Counter.VALUES_UNFIT);
             counters.count(Counter.FAILED);
@@ -338,7 +328,35 @@
         }
         try (result) {
             counters.count(Counter.SERVED);
+            if (result.isStatusPending()) {
+                deliverStreamed(attempt, result, responder);
+            } else {
+                responder.serve(result);
+            }
+        }
+    }
+
+    /** Passes on a result as it comes. Its server states its role and position behind it, which other requests must not wait for. */
+    private void deliverStreamed(Attempt attempt, QueryResult result, Responder responder) throws IOException {
+        long begunAt = clock.now();
+        Deadlines.Deadline overdue = deadlines.after(STATUS_DUE_NS, () -> submitEvent(new StatusOverdue(attempt.serverId)));
+        try {
             responder.serve(result);
+        } finally {
+            deadlines.cancel(overdue);
+            Reply status = result.statusBehind();
+            long now = clock.now();
+            submitEvent(status == null ? new StatusOverdue(attempt.serverId) : new LateStatus(attempt.serverId,
+                    now - attempt.startedAt, now - begunAt, status.role(), status.positionNs(), status.report()));
+        }
+    }
+
+    private void submitEvent(Event event) {
+        lock.lock();
+        try {
+            handleEvent(event);
+        } finally {
+            lock.unlock();
         }
     }
 
@@ -447,21 +465,11 @@
     }
 
     private void timerFired(int handle) {
-        lock.lock();
-        try {
-            handleEvent(new Wakeup(handle));
-        } finally {
-            lock.unlock();
-        }
+        submitEvent(new Wakeup(handle));
     }
 
     private void probeEnded(long serverId, Reply reply, long latencyNs) {
-        lock.lock();
-        try {
-            handleEvent(new Checked(serverId, reply.outcome(), latencyNs, reply.report()));
-        } finally {
-            lock.unlock();
-        }
+        submitEvent(new Checked(serverId, reply.outcome(), latencyNs, reply.report()));
     }
 
     /** Passes one event to the decision module, with the current time. The lock must be held; must not be called by an action. */
--- a/pooler/src/main/java/holdmux/core/QueryResult.java
+++ b/pooler/src/main/java/holdmux/core/QueryResult.java
@@ -15,6 +15,19 @@
         TABLE
     }
 
+    /**
+     * What the server states of itself behind a result that is passed on as it comes, once that has been passed on; null before,
+     * and if the attempt's own reply has it already.
+     */
+    default Reply statusBehind() {
+        return null;
+    }
+
+    /** Whether the server states its status behind this result, which has not been read yet. */
+    default boolean isStatusPending() {
+        return false;
+    }
+
     /** Releases the result's resources; never throws. */
     @Override
     void close();
--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -316,6 +316,10 @@
                 onLastWrite(e);
             } else if (event instanceof RoleObserved e) {
                 onRoleObserved(e);
+            } else if (event instanceof LateStatus e && stores.containsKey(e.store())) {
+                onLateStatus(stores.get(e.store()), e);
+            } else if (event instanceof StatusOverdue e && stores.containsKey(e.store())) {
+                onStatusOverdue(stores.get(e.store()));
             } else if (event instanceof TakeoverStarted) {
                 onTakeoverStarted();
             } else if (event instanceof SettingsChanged e) {
@@ -854,6 +858,38 @@
         }
     }
 
+    /** Applies what a store stated behind a long answer. If its client reads slowly, that may be old by now. */
+    private void onLateStatus(Store store, LateStatus e) {
+        touchedGroups.add(store.group);
+        boolean isRecent = e.begunAgoNs() <= ANSWER_KNOWN_NS;
+        long statedAt = isRecent ? now : now - e.begunAgoNs();
+        if (isRecent) {
+            applyReport(store, e.report(), e.role() == Role.PRIMARY);
+        }
+        if (e.role() == Role.PRIMARY) {
+            markLeader(store, now - e.sentAgoNs());
+        } else if (e.role() == Role.REPLICA) {
+            markNotLeader(store, statedAt);
+        }
+        rolesReported |= e.role() != Role.UNKNOWN;
+        if (e.role() != Role.UNKNOWN) {
+            markRoleCertain(store, statedAt);
+        }
+        if (e.positionNs() > 0 && e.positionNs() <= now + MS) {
+            store.appliedPosition = Math.max(store.appliedPosition, e.positionNs());
+            if (e.role() == Role.REPLICA && isRecent) {
+                setLag(store, Math.max(0, now - e.positionNs()));
+            }
+        }
+    }
+
+    /** The store may have stated another role, which counts as received. */
+    private void onStatusOverdue(Store store) {
+        if (store.group.leader == store && (rolesReported || settings.primaryField() >= 0)) {
+            markRoleUncertain(store);
+        }
+    }
+
     private void setLag(Store store, long lag) {
         store.lag = lag;
         store.lagEstimatedAt = now;
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -68,7 +68,7 @@
     /** Something that happened to this pooler. */
     public sealed interface Event permits ListChanged, Arrived, Answered, Checked, Wakeup, ClientLeft,
             Started, PeerMessage, SettingsChanged, LastWrite, AbortRequest, RoleObserved,
-            TakeoverStarted {}
+            TakeoverStarted, LateStatus, StatusOverdue {}
 
     /** The server list or changes to it; empty if the call failed. */
     public record ListChanged(ListMode mode, long generation, List<Listing> lines) implements Event {}
@@ -108,6 +108,18 @@
      */
     public record RoleObserved(long store, Role role, long atNs) implements Event {}
 
+    /**
+     * What a store stated of itself behind a long answer, which was passed on as it came.
+     *
+     * @param sentAgoNs  how long ago its request was sent
+     * @param begunAgoNs how long ago the answer began; the statement is no older
+     */
+    public record LateStatus(long store, long sentAgoNs, long begunAgoNs, Role role, long positionNs, float[] report)
+            implements Event {}
+
+    /** What a store states behind a long answer is not read yet though it may have been written, or is lost. */
+    public record StatusOverdue(long store) implements Event {}
+
     /** This process takes over from another one of this pooler, which may have learned more than the list says. */
     public record TakeoverStarted() implements Event {}
 
--- a/pooler/src/main/java/holdmux/pg/PgResult.java
+++ b/pooler/src/main/java/holdmux/pg/PgResult.java
@@ -1,5 +1,6 @@
 package holdmux.pg;
 
+import holdmux.core.Reply;
 import holdmux.core.ScalarResult;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -8,10 +9,12 @@
 final class PgResult implements ScalarResult {
     private final Answer answer;
     private final ServerPool servers;
+    private final boolean wasStreamed;
 
     PgResult(Answer answer, ServerPool servers) {
         this.answer = answer;
         this.servers = servers;
+        wasStreamed = answer.isStreaming();
     }
 
     /** Whether the value is streamed from the server instead of being buffered. */
@@ -19,6 +22,16 @@
         return answer.isStreaming();
     }
 
+    @Override
+    public boolean isStatusPending() {
+        return answer.isStreaming();
+    }
+
+    @Override
+    public Reply statusBehind() {
+        return wasStreamed && answer.isServed() ? answer.reply() : null;
+    }
+
     /** Forwards the messages, including ReadyForQuery. */
     void relayTo(OutputStream out) throws IOException {
         if (answer.isStreaming()) {
--- a/pooler/src/test/java/holdmux/decision/SharedRolesTest.java
+++ b/pooler/src/test/java/holdmux/decision/SharedRolesTest.java
@@ -83,6 +83,30 @@
         assertEquals(List.of(), transmits(second.advance(5, arrival(2, FRESH_READ, 0))), "no primary is known");
     }
 
+    /** Guards against reading on from a former primary whose word stood behind a long value and was not passed on. */
+    @Test
+    void whatIsStatedBehindALongAnswerCounts() {
+        SplitterFixture f = fixture().withThreeStores();
+        f.advance(5, arrival(1, FRESH_READ, 0));
+        f.advance(5, f.answered(1, 0, 1, Outcome.OK, Role.UNKNOWN, 0));
+        f.advance(5, new LateStatus(1, 15 * SplitterFixture.MS, 5 * SplitterFixture.MS, Role.REPLICA, 0, new float[0]));
+        assertEquals(List.of(), transmits(f.advance(5, arrival(2, FRESH_READ, 0))));
+    }
+
+    /** While a slow client keeps that word from being read, the primary has to confirm its role, and a confirmation is not undone. */
+    @Test
+    void thePrimaryIsDoubtedWhileItsWordIsNotRead() {
+        SplitterFixture f = fixture().withThreeStores();
+        f.advance(5, arrival(1, FRESH_READ, 0));
+        f.advance(5, f.answered(1, 0, 1, Outcome.OK, Role.UNKNOWN, 0));
+        f.advance(75, new StatusOverdue(1));
+        assertEquals(List.of(), transmits(f.advance(5, arrival(2, FRESH_READ, 0))));
+        assertEquals(1, lastTarget(f.advance(5, f.probeOk(1, 0, true))));
+        f.advance(5, f.answered(2, 0, 1, Outcome.OK, Role.PRIMARY, 0));
+        f.advance(5_000, new LateStatus(1, 5_100 * SplitterFixture.MS, 5_095 * SplitterFixture.MS, Role.REPLICA, 0, new float[0]));
+        assertEquals(1, lastTarget(f.advance(5, arrival(3, FRESH_READ, 0))));
+    }
+
     /** An answer lost in a reset may have stated another role: the other process has to doubt the primary too. */
     @Test
     void doubtsAboutThePrimaryAreShared() {
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -9,6 +9,8 @@
 import holdmux.core.Clock;
 import holdmux.core.Counters.Counter;
 import holdmux.core.Workers;
+import holdmux.decision.SplitterApi.Role;
+import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.statement.SqlState;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -186,6 +188,20 @@
         assertTrue(counters.get(Counter.SERVER_REUSES) > 0, "the server connection is reused");
     }
 
+    /** Guards against losing the role behind a long value: a former primary that says so was read from all the same. */
+    @Test
+    void theRoleBehindALongValueIsNoted() throws IOException {
+        answerScript = m -> AnswerTest.result(m, "v".repeat(100_000)).parameterStatus("replication_role", "standby").readyForQuery();
+        assertEquals("hello TDCZ", ask(WRITE));
+        assertEquals(1, counters.get(Counter.LONG_ANSWERS));
+        List<Role> known = List.of();
+        for (int i = 0; i < 300 && !known.equals(List.of(Role.REPLICA)); i++) {
+            sleep(10); // it is noted behind the answer
+            known = balancer.roles().known().stream().map(RoleObserved::role).toList();
+        }
+        assertEquals(List.of(Role.REPLICA), known);
+    }
+
     /** A long answer that breaks midway must be seen to fail and must not be retried, since the client has received part of it. */
     @Test
     void aBrokenLongAnswerClosesTheClientConnection() throws Exception {
