Upgrades: orders that were confirmed before the processes met are in force in the newer

Cause: the new process reads the stored orders when it starts, and is told of changes once the two have met; an order in between reached nobody. Change: it reads them again when the older process has sent its state, which tells changes from then on, and before it serves.

Evidence: UpgradeTest.ordersFromBeforeTheProcessesMetAreReadAgain fails without the change and passes with it.

--- a/pooler/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/pooler/src/main/java/holdmux/upgrade/Upgrade.java
@@ -122,13 +122,17 @@
         return null;
     }
 
-    /** Waits until the older process has sent all that the reads of a session depend on, or is gone. */
+    /**
+     * Waits until the older process has sent all that the reads of a session depend on, or is gone. Orders that it confirmed before
+     * the processes met are read again: they may be newer than those read at the start, and nobody has told them.
+     */
     public void awaitSynced() throws InterruptedException {
         boolean ended = synced.await(SYNC_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         if (!ended || !receivedAllWrites) {
             Log.warn("upgrade: the older process has not told its writes" + (ended ? " before its end" : " in time"));
             local.writesUnknown().run();
         }
+        local.refreshOrders().run();
     }
 
     /** Notifies the other process that this one serves clients from now on. */
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -160,6 +160,19 @@
         }
     }
 
+    /** Guards against losing an order that the older process confirmed after the newer one had read the stored ones, before they met. */
+    @Test
+    void ordersFromBeforeTheProcessesMetAreReadAgain(@TempDir Path directory) throws Exception {
+        TestProcess older = new TestProcess(directory, 7);
+        older.upgrade.join();
+        waitUntil(() -> Files.exists(directory.resolve("holdmux.sock")));
+        TestProcess newer = new TestProcess(directory, 3); // has read the orders
+        older.upgrade.publishOrdersChange(); // reaches nobody
+        newer.upgrade.join();
+        newer.upgrade.awaitSynced();
+        assertEquals(1, newer.orderRefreshes.get(), "read again before the newer process serves");
+    }
+
     /** Changes of orders, connection counts and the start of serving reach the other process, so that orders and limits hold for both. */
     @Test
     void exchangesOrdersAndUsage(@TempDir Path directory) throws Exception {
