--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -29,9 +29,9 @@
     /** Servers send the messages behind a result or an error in the same write; if they are late by this, they never come. */
     private static final long TRAILER_TIMEOUT_NS = 50 * Clock.MS;
 
-    /** How much of a message the system may hold for a server that does not read; longer messages are written in parts. Less than
-     * a segment, which has up to 64 KiB on loopback, would wait for the server's delayed acknowledgements. */
-    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+    /** How much of a message the system may hold for a server that does not read. Without room for several segments, of up to 64 KiB
+     * on loopback, each of them would wait for the server's delayed acknowledgement. */
+    private static final int SEND_BUFFER_BYTES = 256 * 1024;
 
     private final long serverId;
     private final InetSocketAddress address;
@@ -75,7 +75,7 @@
      * @throws IOException if the connection broke or the attempt was given up before the last byte
      */
     boolean send(QueryMessage message, Attempt attempt, Deadlines deadlines) throws IOException {
-        return message.length() > SEND_BUFFER_BYTES ? sendInParts(message, attempt, deadlines) : sendAtOnce(message, attempt);
+        return message.length() > BufferPool.BUFFER_SIZE ? sendInParts(message, attempt, deadlines) : sendAtOnce(message, attempt);
     }
 
     /** Writes a short message in one call. Acquiring the buffer may take time, so it comes before the check. */
