--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -550,28 +550,30 @@
         lock.lock();
         try {
             long now = clock.now();
-            Permission modulePermission = clientPermission(request, splitter.sendPermission(now, request.id, number), now);
-            return sendGate.permits(request, request.attempts.get(number), modulePermission, goneIsAdvice(), now);
+            Permission permission = currentPermission(request, number, now);
+            if (permission == Permission.CLIENT_UNCERTAIN) {
+                // only here, where none of the attempt has been written: a client that stays gets its answer
+                handleEvent(new AbortRequest(request.id, EndReason.CLIENT_UNCERTAIN));
+            }
+            return sendGate.permits(request, request.attempts.get(number), permission, goneIsAdvice(), now);
         } finally {
             lock.unlock();
         }
     }
 
-    /** Ends a request whose client may have left unnoticed: nothing more may be sent for it, and a client that stays gets its answer. */
-    private Permission clientPermission(Request request, Permission modulePermission, long now) {
-        if (modulePermission != Permission.ALLOWED || !sendGate.mayHaveLostClient(request, now)) {
-            return modulePermission;
-        }
-        handleEvent(new AbortRequest(request.id, EndReason.CLIENT_UNCERTAIN));
-        return Permission.CLIENT_UNCERTAIN;
+    /** What the decision module permits, unless the client may have left unnoticed: nothing more may be sent for it then. */
+    private Permission currentPermission(Request request, int number, long now) {
+        Permission permission = splitter.sendPermission(now, request.id, number);
+        boolean isUncertain = permission == Permission.ALLOWED && sendGate.mayHaveLostClient(request, now);
+        return isUncertain ? Permission.CLIENT_UNCERTAIN : permission;
     }
 
     private boolean mayContinueWrite(Request request, int number) {
         lock.lock();
         try {
             long now = clock.now();
-            Permission modulePermission = clientPermission(request, splitter.sendPermission(now, request.id, number), now);
-            return sendGate.permitsRest(request, request.attempts.get(number), modulePermission, deployment.settings().rules().drainGraceNs(), now);
+            return sendGate.permitsRest(request, request.attempts.get(number), currentPermission(request, number, now),
+                    deployment.settings().rules().drainGraceNs(), now);
         } finally {
             lock.unlock();
         }
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -90,7 +90,10 @@
     /** The client has left; its request needs no answer any more. */
     public record ClientLeft(long id) implements Event {}
 
-    /** This process ends: the request gets its final answer now, even if attempts are in flight. */
+    /**
+     * The request gets its final answer now, even if attempts are in flight. With {@link EndReason#CLIENT_UNCERTAIN}
+     * the one in flight was withheld, so that none of it was written.
+     */
     public record AbortRequest(long id, EndReason reason) implements Event {}
 
     /** A streamed answer has started. */
--- a/pooler/src/test/java/holdmux/core/BalancerTest.java
+++ b/pooler/src/test/java/holdmux/core/BalancerTest.java
@@ -151,6 +151,24 @@
         assertEquals(1, counters.get(Counter.FAILED));
     }
 
+    /** Guards against refusing a write as harmless to repeat whose last byte went out just before its client became uncertain. */
+    @Test
+    void aWriteThatIsRecheckedBehindItsLastByteIsNotRefused() {
+        long[] unnoticedNs = {0};
+        ScriptedExchange script = new ScriptedExchange(Outcome.OK) {
+            @Override
+            public AttemptResult attempt(Attempt attempt, Statement statement, QueryResult.Shape shape) {
+                AttemptResult written = super.attempt(attempt, statement, shape);
+                unnoticedNs[0] = 1_000 * Clock.MS;
+                attempt.recheckWrite(); // as a check does that had begun before
+                return attempt.complete() ? written : new AttemptResult(Reply.of(attempt.failDisconnected()), null);
+            }
+        };
+        Request.Spec spec = new Request.Spec("save-quote", Consistency.WRITE, false, 900 * Clock.MS, 0, 7, 2);
+        execute(balancer.openRequest(spec, null, now -> unnoticedNs[0]), script);
+        assertEquals(List.of("served"), script.answers);
+    }
+
     /** A result is closed after it was sent; one that no front supports is answered as a failure, since the request has run. */
     @Test
     void resultIsClosedAndUnsupportedResultFails() {
