A close behind an answer is not missed when a worker answers before the reader goes on

Callers saw: a client to be sent away behind its next answer kept its connection; one that waits for the close waits for ever.

A worker that answered in between found it not idle, and nothing looked again.

Change: SessionState.offer and offerRefusal queue the command and note that the next message is due in one transition. Clients of PoolerFixture fail after 30 s without input.

--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -186,7 +186,6 @@
                     SqlState.FEATURE_NOT_SUPPORTED, "only the simple query protocol is supported");
             default -> throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "unexpected message type " + type);
         }
-        state.awaitMessage(in.hasBuffered());
         return true;
     }
 
@@ -209,7 +208,7 @@
 
     /** Notes a command that was not queued; it is refused in order, after the queued ones. */
     private void enqueueRefusal() throws ProtocolException {
-        SessionState.Offer offer = state.offerRefusal();
+        SessionState.Offer offer = state.offerRefusal(in.hasBuffered());
         if (offer == null) {
             throw ProtocolException.fatal(SqlState.TOO_MANY_CONNECTIONS, "too many commands at once");
         }
@@ -217,7 +216,7 @@
     }
 
     private void enqueue(ClientCommand command) {
-        handle(state.offer(command), command);
+        handle(state.offer(command, in.hasBuffered()), command);
     }
 
     /** Queues the final command, behind all others and all refusals. */
--- a/pooler/src/main/java/holdmux/pg/SessionState.java
+++ b/pooler/src/main/java/holdmux/pg/SessionState.java
@@ -67,7 +67,7 @@
     // ---- The reading thread ----
 
     /**
-     * Notes that the startup packet, or a message, is dealt with and the next message is due.
+     * Notes that the startup packet is dealt with and the first message is due.
      *
      * @param begun whether some of it has been read already
      */
@@ -83,7 +83,7 @@
         return input != Input.CLOSED;
     }
 
-    /** Notes that a message was read to its end, so that from now on it is owed an answer. */
+    /** Notes that a message was read to its end, so that from now on it is owed an answer. It is to be offered next. */
     synchronized void messageReceived() {
         if (input != Input.CLOSED) {
             input = Input.RECEIVED;
@@ -96,13 +96,19 @@
         return pendingRefusals == 0 && !overloaded && queuedBytes <= MAX_QUEUED_BYTES;
     }
 
-    /** Queues a command that was read. */
-    synchronized Offer offer(ClientCommand command) {
+    /**
+     * Queues a command that was read. From then on the next message is due: the answer may be sent, and the connection be closed
+     * behind it, before the reading thread comes to that message.
+     *
+     * @param nextBegun whether some of the next message has been read already
+     */
+    synchronized Offer offer(ClientCommand command, boolean nextBegun) {
         if (input == Input.CLOSED) {
             return Offer.DROPPED;
         }
         queue.add(command);
         queuedBytes += command.length();
+        awaitMessage(nextBegun);
         return startAnswering();
     }
 
@@ -116,8 +122,13 @@
         return startAnswering();
     }
 
-    /** Notes a command that was read and is refused in order, after the queued ones; null if there are too many of them. */
-    synchronized Offer offerRefusal() {
+    /**
+     * Notes a command that was read and is refused in order, after the queued ones; null if there are too many of them. The next
+     * message is due then, as behind {@link #offer}.
+     *
+     * @param nextBegun whether some of the next message has been read already
+     */
+    synchronized Offer offerRefusal(boolean nextBegun) {
         if (pendingRefusals == MAX_PENDING_REFUSALS) {
             return null;
         }
@@ -125,6 +136,7 @@
             return Offer.DROPPED;
         }
         pendingRefusals++;
+        awaitMessage(nextBegun);
         return startAnswering();
     }
 
--- a/pooler/src/test/java/holdmux/pg/PoolerFixture.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerFixture.java
@@ -50,6 +50,8 @@
 
     /** Socket limit of the pooler; half of it, 20, is for clients. */
     static final int SOCKETS = 40;
+    /** A client that waits longer than this for the pooler fails its test; no test waits for more than some seconds. */
+    private static final int READ_TIMEOUT_MS = 30_000;
 
     @TempDir
     Path folder;
@@ -267,7 +269,9 @@
     }
 
     Socket client() throws IOException {
-        return new Socket(config.listen().getAddress(), config.listen().getPort());
+        Socket client = new Socket(config.listen().getAddress(), config.listen().getPort());
+        client.setSoTimeout(READ_TIMEOUT_MS);
+        return client;
     }
 
     String ask(String query) throws IOException {
--- a/pooler/src/test/java/holdmux/pg/SessionStateTest.java
+++ b/pooler/src/test/java/holdmux/pg/SessionStateTest.java
@@ -23,31 +23,40 @@
         WAITING(state -> state.awaitMessage(false), true, true),
         MESSAGE_BUFFERED(state -> state.awaitMessage(true), false, true),
         READING(SessionState::beginMessage, false, true),
-        RECEIVED(state -> {
-            state.beginMessage();
-            state.messageReceived();
-        }, false, false),
-        QUEUED(state -> state.offer(COMMAND), false, false),
-        REFUSED(SessionState::offerRefusal, false, false),
+        RECEIVED(Situation::receive, false, false),
+        QUEUED(state -> state.offer(COMMAND, false), false, false),
+        REFUSED(state -> state.offerRefusal(false), false, false),
         ANSWERING(state -> {
-            state.offer(COMMAND);
-            state.awaitMessage(false);
+            state.offer(COMMAND, false);
             state.nextCommand();
         }, false, false),
         ANSWERING_WHILE_READING(state -> {
-            state.offer(COMMAND);
+            state.offer(COMMAND, false);
             state.nextCommand();
             state.beginMessage();
         }, false, false),
         LAST_COMMAND_QUEUED(state -> state.offerFinal(COMMAND), false, false),
+        /** Answered before the reading thread came to the next message: the close that this answer waited for must not be missed. */
         ANSWERED(state -> {
-            state.offer(COMMAND);
+            receive(state);
+            state.offer(COMMAND, false);
             state.nextCommand();
-            state.awaitMessage(false);
             state.nextCommand();
         }, true, true),
+        REFUSAL_ANSWERED(state -> {
+            receive(state);
+            state.offerRefusal(false);
+            state.nextCommand();
+            state.nextCommand();
+        }, true, true),
+        ANSWERED_WITH_THE_NEXT_MESSAGE_BUFFERED(state -> {
+            receive(state);
+            state.offer(COMMAND, true);
+            state.nextCommand();
+            state.nextCommand();
+        }, false, true),
         ANSWERED_WHILE_READING(state -> {
-            state.offer(COMMAND);
+            state.offer(COMMAND, false);
             state.nextCommand();
             state.beginMessage();
             state.nextCommand();
@@ -63,6 +72,11 @@
             this.endsUnlessOwed = endsUnlessOwed;
         }
 
+        private static void receive(SessionState state) {
+            state.beginMessage();
+            state.messageReceived();
+        }
+
         SessionState reach() {
             SessionState state = new SessionState(REFUSAL);
             path.accept(state);
@@ -76,7 +90,7 @@
         assertEquals(expected || situation == Situation.CLOSED, state.isClosed());
         boolean isOpen = !state.isClosed();
         assertEquals(isOpen, state.beginMessage(), "further input is accepted while the connection is open");
-        assertEquals(isOpen, state.offer(COMMAND) != Offer.DROPPED);
+        assertEquals(isOpen, state.offer(COMMAND, false) != Offer.DROPPED);
     }
 
     /** An idle close, at the cap or in an evacuation, a drain or an upgrade, takes no message along of which something was read. */
@@ -112,13 +126,13 @@
     @Test
     void commandsAreAnsweredInOrderAndTheFinalOneLast() {
         SessionState state = new SessionState(REFUSAL);
-        assertEquals(Offer.TO_ANSWER, state.offer(COMMAND));
+        assertEquals(Offer.TO_ANSWER, state.offer(COMMAND, false));
         for (int i = 1; i < SessionState.MAX_QUEUED; i++) {
             assertTrue(state.canQueue());
-            assertEquals(Offer.QUEUED, state.offer(COMMAND));
+            assertEquals(Offer.QUEUED, state.offer(COMMAND, false));
         }
         assertFalse(state.canQueue());
-        assertEquals(Offer.QUEUED, state.offerRefusal());
+        assertEquals(Offer.QUEUED, state.offerRefusal(false));
         ClientCommand last = ClientCommand.of(ClientCommand.Kind.TERMINATE);
         assertEquals(Offer.QUEUED, state.offerFinal(last));
         for (int i = 0; i < SessionState.MAX_QUEUED; i++) {
