Slow start: a long request has the budget saved up for it, not used up by short ones

Cause: a request is sent to a cold server if its work fits what is left of a burst, or if the budget is unused. The write's 300 ms are more than a burst while the server is colder than half, and short reads, which go first, never leave the budget unused. At the refusal, in a copy with output of the module's state: 257 ms used, burst 305 ms, share 0.51, server healthy, nothing in flight.

Change: a request that waited a quarter of its target time for the budget alone reserves it at one server; others of less worth, or as much and later, wait behind it. The budget is as large as before. What a server states of itself is applied in one place (applyStatus).

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -61,6 +61,8 @@
     private static final double MAX_EXPECTED_SHARE = 0.4;
     /** Shares of the permitted load of a cold store that all poolers together plan to use, steadily and in bursts. */
     private static final double COLD_STEADY_SHARE = 0.8, COLD_BURST_SHARE = 0.25;
+    /** After this share of its target time, a request has a cold store's budget saved up for it. */
+    private static final double COLD_RESERVATION_SHARE = 0.25;
     /** Roles of stores not listed yet that are kept; more than the number of stores in a large deployment. */
     private static final int MAX_EARLY_ROLES = 8_192;
     /** Sessions kept in a group; beyond that the least recently used is dropped and the floor raised to its token. */
@@ -140,6 +142,8 @@
         /** While it may be cold: how much work it was sent, less what it has done since; since when; last update. */
         double coldBudgetUsed;
         long coldSince, coldBudgetAt;
+        /** The request that the cold budget is saved up for; it may have ended since. */
+        OpenRequest coldReservation;
 
         Store(long id, Group group, long backoffNs) {
             this.id = id;
@@ -189,6 +193,8 @@
         /** First ended attempt that may have run; also the first sent, as only idempotent requests have two out. */
         Attempt firstMayHaveRun;
         Store avoidStore, failedStore;
+        /** The cold store whose budget is saved up for this request. */
+        Store reservedStore;
 
         OpenRequest(Arrived arrival, Settings settings, LatencyEstimate latency, Group group, long now) {
             id = arrival.id();
@@ -595,7 +601,7 @@
     private boolean send(OpenRequest request, Store store) {
         boolean mayRunNow = request.inFlight == 0 || request.limits.duplicates() && request.isIdempotent();
         if (request.done || !canRetry(request) || !mayRunNow || !isAllowed(request, store)
-                || !hasColdBudget(store, request.latency.baseNs)) {
+                || !hasColdBudget(store, request)) {
             return false;
         }
         store.coldBudgetUsed += request.latency.baseNs;
@@ -826,25 +832,10 @@
     /** Applies what an answer proves about positions and about the store's role. */
     private void updatePositionAndRole(OpenRequest request, Attempt attempt, Answered e) {
         Store store = attempt.store;
-        if (e.role() == Role.PRIMARY) {
-            markLeader(store, attempt.sentAt); // the send time: a delayed answer must not override a newer denial
-        } else if (e.role() == Role.REPLICA) {
-            markNotLeader(store, now);
-        }
-        rolesReported |= e.role() != Role.UNKNOWN;
-        // an answer lost in a reset may have stated another role, and counts as received
-        boolean answerLost = (rolesReported || settings.primaryField() >= 0) && e.outcome() == Outcome.RESET;
-        if (e.role() != Role.UNKNOWN) {
-            markRoleCertain(store, now);
-        } else if (answerLost) {
+        applyStatus(store, e.role(), e.positionNs(), attempt.sentAt, now);
+        if (e.role() == Role.UNKNOWN && e.outcome() == Outcome.RESET && storesStateRoles()) {
             markRoleUncertain(store);
         }
-        if (e.positionNs() > 0 && e.positionNs() <= now + MS) { // reported positions are rounded up
-            store.appliedPosition = Math.max(store.appliedPosition, e.positionNs());
-            if (e.role() == Role.REPLICA) {
-                setLag(store, Math.max(0, now - e.positionNs()));
-            }
-        }
         attempt.session.writesInFlight--;
         if (request.advancesToken && !e.outcome().neverRan) {
             Session session = getOrCreateSession(request.group, request.session);
@@ -864,34 +855,42 @@
         }
     }
 
+    /** Applies what a store stated of itself at one time, in answer to a request that was sent at another. */
+    private void applyStatus(Store store, Role role, long positionNs, long sentAt, long statedAt) {
+        if (role == Role.PRIMARY) {
+            markLeader(store, sentAt); // the send time: a delayed answer must not override a newer denial
+        } else if (role == Role.REPLICA) {
+            markNotLeader(store, statedAt);
+        }
+        if (role != Role.UNKNOWN) {
+            rolesReported = true;
+            markRoleCertain(store, statedAt);
+        }
+        if (positionNs > 0 && positionNs <= now + MS) { // reported positions are rounded up
+            store.appliedPosition = Math.max(store.appliedPosition, positionNs);
+            if (role == Role.REPLICA && statedAt == now) {
+                setLag(store, Math.max(0, now - positionNs));
+            }
+        }
+    }
+
+    /** Whether an answer that is lost may have stated another role, which counts as received. */
+    private boolean storesStateRoles() {
+        return rolesReported || settings.primaryField() >= 0;
+    }
+
     /** Applies what a store stated behind a long answer. If its client reads slowly, that may be old by now. */
     private void onLateStatus(Store store, LateStatus e) {
         touchedGroups.add(store.group);
         boolean isRecent = e.begunAgoNs() <= ANSWER_KNOWN_NS;
-        long statedAt = isRecent ? now : now - e.begunAgoNs();
         if (isRecent) {
             applyReport(store, e.report(), e.role() == Role.PRIMARY);
         }
-        if (e.role() == Role.PRIMARY) {
-            markLeader(store, now - e.sentAgoNs());
-        } else if (e.role() == Role.REPLICA) {
-            markNotLeader(store, statedAt);
-        }
-        rolesReported |= e.role() != Role.UNKNOWN;
-        if (e.role() != Role.UNKNOWN) {
-            markRoleCertain(store, statedAt);
-        }
-        if (e.positionNs() > 0 && e.positionNs() <= now + MS) {
-            store.appliedPosition = Math.max(store.appliedPosition, e.positionNs());
-            if (e.role() == Role.REPLICA && isRecent) {
-                setLag(store, Math.max(0, now - e.positionNs()));
-            }
-        }
+        applyStatus(store, e.role(), e.positionNs(), now - e.sentAgoNs(), isRecent ? now : now - e.begunAgoNs());
     }
 
-    /** The store may have stated another role, which counts as received. */
     private void onStatusOverdue(Store store) {
-        if (store.group.leader == store && (rolesReported || settings.primaryField() >= 0)) {
+        if (store.group.leader == store && storesStateRoles()) {
             markRoleUncertain(store);
         }
     }
@@ -1028,7 +1027,11 @@
     /** Whether a store can be expected to answer in time. Prevents queues that make all requests late, caused by
      * overload, slow machines or other poolers; refuses too much where latencies scatter widely. */
     private boolean canServeInTime(Store store, OpenRequest request) {
-        if (!store.isReady() || !store.verified || !hasColdBudget(store, request.latency.baseNs)) {
+        return isExpectedInTime(store, request) && hasColdBudget(store, request);
+    }
+
+    private boolean isExpectedInTime(Store store, OpenRequest request) {
+        if (!store.isReady() || !store.verified) {
             return false;
         }
         // a store that cannot be reached is not usable even in panic
@@ -1065,8 +1068,18 @@
         return coldShare + (1 - coldShare) * Math.max(0, age) / settings.rules().rampNs();
     }
 
-    /** Whether a store that may be cold can take this much more work now; always true of a warm one. */
-    private boolean hasColdBudget(Store store, double work) {
+    /** Whether a store that may be cold can take this request now; always true of a warm one. */
+    private boolean hasColdBudget(Store store, OpenRequest request) {
+        boolean reserved = isReservedForAnother(store, request);
+        boolean fits = !reserved && fitsColdBudget(store, request.latency.baseNs);
+        if (!reserved && !fits) {
+            reserveColdBudget(store, request);
+        }
+        return fits;
+    }
+
+    /** Whether a store that may be cold can take this much more work now. Any amount fits an unused budget. */
+    private boolean fitsColdBudget(Store store, double work) {
         double share = capacityShare(store);
         if (share >= 1) {
             return true;
@@ -1081,6 +1094,34 @@
                 || store.coldBudgetUsed + work <= COLD_BURST_SHARE * rate * settings.rules().fallNs();
     }
 
+    /** Whether the budget is saved up for a request that goes first. Long requests fit only an empty budget, which
+     * short ones would never leave. */
+    private boolean isReservedForAnother(Store store, OpenRequest request) {
+        OpenRequest holder = store.coldReservation;
+        return holder != request && capacityShare(store) < 1 && holdsReservation(holder, store)
+                && goesFirst(holder, request);
+    }
+
+    /** Whether a request that has waited long goes before another one: by the worth of its class, then by age. */
+    private static boolean goesFirst(OpenRequest request, OpenRequest other) {
+        double worth = request.requestClass.worth(), otherWorth = other.requestClass.worth();
+        return worth > otherWorth || worth == otherWorth && request.arrivedAt <= other.arrivedAt;
+    }
+
+    private boolean holdsReservation(OpenRequest request, Store store) {
+        return request != null && store != null && store.coldReservation == request && request.pending
+                && isAllowed(request, store) && isExpectedInTime(store, request);
+    }
+
+    /** Saves up the budget of one cold store for a request that has waited long. */
+    private void reserveColdBudget(Store store, OpenRequest request) {
+        boolean waitedLong = now - request.arrivedAt >= COLD_RESERVATION_SHARE * request.requestClass.onTimeNs();
+        if (waitedLong && !holdsReservation(request, request.reservedStore)) {
+            store.coldReservation = request;
+            request.reservedStore = store;
+        }
+    }
+
     /** Concurrency that this pooler sends to a busy store, by its recent peak: work withheld from cold stores must
      * not lower what they may take next. At least its share of most of the cores of a store. */
     private double usualConcurrency() {
--- a/pooler/src/test/java/holdmux/decision/FailureHandlingTest.java
+++ b/pooler/src/test/java/holdmux/decision/FailureHandlingTest.java
@@ -16,6 +16,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.decision.SplitterApi.*;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -149,6 +150,51 @@
         assertTrue(sent >= 1 && sent < 40, "requests sent to cold stores: " + sent);
     }
 
+    /** Slow start: a long write fits an empty budget only, and short reads that come all the time must not keep it from that. */
+    @Test
+    void shortReadsDoNotStarveALongWriteAtAColdPrimary() {
+        for (int seed = 0; seed < 20; seed++) {
+            SplitterFixture f = SplitterFixture.oneOfMany(10, seed);
+            f.advance(5, new ListChanged(ListMode.DELTA, 2, List.of(listing(2, false, 0, Availability.GONE),
+                    listing(3, false, 0, Availability.GONE))));
+            for (int i = 0; i < 100; i++) {
+                advanceAndAnswerProbes(f, 100, arrival(i, ANY_READ, 0), arrival(1_000 + i, DEDUPLICATED_WRITE, 0));
+                f.advance(20, answeredAfter(i, 20));
+                f.advance(180, answeredAfter(1_000 + i, 200));
+            }
+            f.advance(5, new ListChanged(ListMode.DELTA, 3, List.of(listing(1, true, f.now, Availability.READY))));
+            int reads = 0;
+            boolean writeSent = false;
+            for (int i = 0; i < 120 && !writeSent; i++) {
+                Event due = i % 5 == 0 ? arrival(2_000 + i, ANY_READ, 0) : new Wakeup(1);
+                List<Action> out = advanceAndAnswerProbes(f, 10, due, new Wakeup(1));
+                out.addAll(i == 20 ? f.advance(0, arrival(3_000, DEDUPLICATED_WRITE, 0)) : List.of());
+                for (List<Transmit> sent = transmits(out); !sent.isEmpty(); sent = transmits(out)) {
+                    out = new ArrayList<>();
+                    for (Transmit transmit : sent) {
+                        writeSent |= transmit.id() == 3_000;
+                        reads++;
+                        out.addAll(f.advance(0, answeredAfter(transmit.id(), 20)));
+                    }
+                }
+            }
+            assertTrue(writeSent, "seed " + seed + ": the write was not sent in 1 s beside " + reads + " reads");
+            assertTrue(reads > 2, "seed " + seed + ": " + reads + " requests were sent");
+        }
+    }
+
+    private static List<Action> advanceAndAnswerProbes(SplitterFixture f, long afterMs, Event... events) {
+        List<Action> out = f.advance(afterMs, events);
+        for (Action action : List.copyOf(out)) {
+            out.addAll(action instanceof Inspect probe ? f.advance(0, f.probeOk(probe.store(), 0, true)) : List.of());
+        }
+        return out;
+    }
+
+    private static Answered answeredAfter(long id, long ms) {
+        return new Answered(id, 1, 0, true, Outcome.OK, ms * MS, Role.PRIMARY, 0, new float[0]);
+    }
+
     /** One corrupt answer must not make its store unhealthy and then cold for a whole warm-up time. */
     @Test
     void singleResetDoesNotMakeAStoreUnhealthy() {
