--- a/pooler/src/main/java/holdmux/pg/ClientSession.java
+++ b/pooler/src/main/java/holdmux/pg/ClientSession.java
@@ -155,6 +155,9 @@
 
     /** Reads one message; false if no further message is to be read. */
     private boolean readMessage() throws IOException, ProtocolException {
+        if (!in.hasBuffered() && context.clients().closesIdleSessions() && state.stopReading()) {
+            return false;
+        }
         int type = in.awaitFirstByte();
         if (!state.beginMessage()) {
             return false;
--- a/pooler/src/main/java/holdmux/pg/SessionState.java
+++ b/pooler/src/main/java/holdmux/pg/SessionState.java
@@ -83,6 +83,15 @@
         return input != Input.CLOSED;
     }
 
+    /**
+     * Whether to read no further message, since the connection is to be closed and commands are being answered: it is closed behind
+     * their answers. A client that always has commands out would otherwise keep it.
+     */
+    synchronized boolean stopReading() {
+        closeRequested |= answering;
+        return answering;
+    }
+
     /** Notes that a message was read to its end, so that from now on it is owed an answer. It is to be offered next. */
     synchronized void messageReceived() {
         if (input != Input.CLOSED) {
--- a/pooler/src/test/java/holdmux/pg/PoolerTest.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerTest.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -511,6 +512,36 @@
         }
     }
 
+    /** A client that sends its next command before it has the last answer was never closed; what was read is answered. */
+    @Test
+    void evacuationClosesAClientThatAlwaysHasCommandsOut() throws Exception {
+        Consumer<MessageBuilder> answer = answerScript;
+        answerScript = m -> {
+            sleep(20);
+            answer.accept(m);
+        };
+        try (Socket client = client()) {
+            send(client, PoolerFixture::startup);
+            assertEquals("hello ", readTypes(client, 1));
+            for (int i = 0; i < 4; i++) {
+                send(client, m -> query(m, WRITE));
+            }
+            front.setEvacuating(true);
+            long startNs = System.nanoTime();
+            String types = readTypes(client, 1);
+            while (types.equals("TDCZ") && System.nanoTime() - startNs < 4_000 * Clock.MS) {
+                try {
+                    send(client, m -> query(m, WRITE));
+                } catch (SocketException e) {
+                    break; // the pooler has closed its side long ago, and the socket now
+                }
+                types = readTypes(client, 1);
+            }
+            assertTrue(System.nanoTime() - startNs < 4_000 * Clock.MS, "the connection is still open");
+            assertTrue(List.of("|", "TDCZ").contains(types), "closed between two answers: " + types);
+        }
+    }
+
     /** While another process takes over, both listen on the address; connected clients get an answer and are then closed. */
     @Test
     void aTakeoverRefusesNoClient() throws Exception {
--- a/pooler/src/test/java/holdmux/pg/SessionStateTest.java
+++ b/pooler/src/test/java/holdmux/pg/SessionStateTest.java
@@ -123,6 +123,19 @@
         assertNull(state.nextCommand());
     }
 
+    /** A connection whose reading has stopped is closed behind its last answer, even if the order to close it is taken back meanwhile. */
+    @Test
+    void stopsReadingOnlyBehindCommandsThatAreAnswered() {
+        SessionState state = Situation.ANSWERED.reach();
+        assertFalse(state.stopReading(), "an idle connection is closed at once, or reads one more command");
+        state.offer(COMMAND, false);
+        assertTrue(state.stopReading());
+        assertEquals(COMMAND, state.nextCommand());
+        assertFalse(state.endIfRequested(false), "the command is being answered");
+        assertNull(state.nextCommand());
+        assertTrue(state.endIfRequested(false));
+    }
+
     @Test
     void commandsAreAnsweredInOrderAndTheFinalOneLast() {
         SessionState state = new SessionState(REFUSAL);
