--- a/pooler/src/main/java/holdmux/upgrade/Upgrade.java
+++ b/pooler/src/main/java/holdmux/upgrade/Upgrade.java
@@ -16,7 +16,6 @@
 import holdmux.upgrade.Link.Kind;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
@@ -113,8 +112,8 @@
     /** Connects to the process that owns the socket; null if it is gone. */
     private Link connectToOlder() {
         for (int i = 0; i < CONNECT_ATTEMPTS; i++) {
-            try {
-                return new Link(SocketChannel.open(UnixDomainSocketAddress.of(socketPath)));
+            try (SocketLocation location = new SocketLocation(socketPath)) {
+                return new Link(SocketChannel.open(location.address()));
             } catch (IOException e) {
                 pause(USAGE_INTERVAL_MS);
             }
@@ -163,7 +162,9 @@
         while (true) {
             try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
                 Files.deleteIfExists(socketPath);
-                server.bind(UnixDomainSocketAddress.of(socketPath));
+                try (SocketLocation location = new SocketLocation(socketPath)) {
+                    server.bind(location.address());
+                }
                 while (true) {
                     Link newer = new Link(server.accept());
                     attach(newer);
--- a/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
+++ b/pooler/src/test/java/holdmux/upgrade/UpgradeTest.java
@@ -126,6 +126,16 @@
         assertEquals(0, processes[0].counters.get(Counter.UPGRADE_WORDS_MISSED));
     }
 
+    /** In a folder whose path is longer than a socket's address, two processes did not meet, and session reads were stale. */
+    @Test
+    void processesMeetInAFolderWithALongPath(@TempDir Path directory) throws Exception {
+        Path folder = Files.createDirectories(directory.resolve("a".repeat(SocketLocation.MAX_PATH_BYTES)).resolve("b"));
+        TestProcess[] processes = startPair(folder);
+        LastWrite write = new LastWrite(1, 2, 3);
+        processes[0].upgrade.onWrite(write);
+        assertEquals(List.of(write), processes[1].receivedWrites);
+    }
+
     /** Guards against a newer process that trusts the list where the older one knows that the primary is another. */
     @Test
     void rolesReachTheOtherProcess(@TempDir Path directory) throws Exception {
