--- a/standins/src/main/java/holdmux/standins/Fault.java
+++ b/standins/src/main/java/holdmux/standins/Fault.java
@@ -21,7 +21,18 @@
         /** The server reports that it is overloaded; the request must not have run. */
         FULL,
         /** The server reports that it cannot serve the request: not the primary, or too far behind; the request must not have run. */
-        MISS
+        MISS,
+        /** The server's role and position follow their answer late. PostgreSQL only, as the two below. */
+        LATE_STATUS,
+        /** The server sends its role and position first, and nothing more; the connection stays open. */
+        STATUS_ONLY,
+        /** The whole answer is written, and held up on its way. */
+        HELD_UP;
+
+        /** Whether the fault concerns a request that has run, and the role that its server states. */
+        public boolean affectsStatus() {
+            return this == LATE_STATUS || this == STATUS_ONLY || this == HELD_UP;
+        }
     }
 
     /** When the fault occurs. */
--- a/standins/src/main/java/holdmux/standins/PgQuoteServer.java
+++ b/standins/src/main/java/holdmux/standins/PgQuoteServer.java
@@ -2,10 +2,13 @@
 
 import holdmux.standins.QuoteGroup.Member;
 import holdmux.standins.QuoteGroup.Statement;
+import holdmux.standins.ServingLog.RoleStatement;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +19,9 @@
 
 /** A group member that speaks the part of the PostgreSQL protocol that the pooler uses: start-up and simple queries. */
 final class PgQuoteServer implements AutoCloseable {
+    /** How late the status follows its answer with {@link Fault.Kind#LATE_STATUS}, and for how long an answer is held up. */
+    private static final long LATE_STATUS_MS = 80, HELD_UP_MS = 700;
+
     private final QuoteGroup group;
     private final Member member;
     private final ServerSocket listener;
@@ -53,15 +59,16 @@
     private void serveConnection(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
+            long connection = group.servingLog().newConnection();
             DataInputStream in = new DataInputStream(socket.getInputStream());
             in.readNBytes(in.readInt() - 4);
-            socket.getOutputStream().write(new MessageBuffer().put('R', m -> m.writeInt(0)).readyForQuery().bytes());
+            sendWithStatus(socket, connection, new MessageBuffer().put('R', m -> m.writeInt(0)));
             while (true) {
                 if (in.readByte() != 'Q') {
                     return;
                 }
                 byte[] text = in.readNBytes(in.readInt() - 4);
-                answer(socket, new String(text, 0, text.length - 1, StandardCharsets.UTF_8));
+                answer(socket, connection, new String(text, 0, text.length - 1, StandardCharsets.UTF_8));
             }
         } catch (IOException e) {
             // the client disconnected, or a fault closed the connection
@@ -70,13 +77,32 @@
         }
     }
 
-    private void answer(Socket socket, String sql) throws IOException {
+    /** Sends the answer to a command that is no request, with the server's role and position where every answer states them. */
+    private void sendWithStatus(Socket socket, long connection, MessageBuffer answer) throws IOException {
+        if (group.isStatusInEveryAnswer()) {
+            recordStatement(connection, "");
+            putStatus(answer);
+        }
+        socket.getOutputStream().write(answer.readyForQuery().bytes());
+    }
+
+    private void recordStatement(long connection, String id) {
+        group.servingLog().add(new RoleStatement(member.name, id, connection, System.nanoTime(), group.isPrimary(member)));
+    }
+
+    private MessageBuffer putStatus(MessageBuffer answer) throws IOException {
+        return answer.parameterStatus("replication_role", group.role(member))
+                .parameterStatus("log_position", Long.toString(group.positionMs(member)));
+    }
+
+    private void answer(Socket socket, long connection, String sql) throws IOException {
+        long arrivedAt = System.nanoTime();
         if (sql.equals("SHOW pressure")) {
-            socket.getOutputStream().write(rowResponse(group.loadReport(member).getBytes(StandardCharsets.UTF_8), "SHOW").bytes());
+            sendWithStatus(socket, connection, row(group.loadReport(member).getBytes(StandardCharsets.UTF_8), "SHOW"));
             return;
         }
         if (sql.equals("DISCARD ALL")) {
-            socket.getOutputStream().write(new MessageBuffer().put('C', m -> m.writeBytes(sql + "\0")).readyForQuery().bytes());
+            sendWithStatus(socket, connection, new MessageBuffer().put('C', m -> m.writeBytes(sql + "\0")));
             return;
         }
         group.recordArrival(member, sql);
@@ -85,41 +111,90 @@
         group.requestStarted(member);
         try {
             if (fault != null && !fault.requestRuns()) {
-                applyFault(socket, fault, null);
+                applyFault(socket, fault, connection, statement, null);
                 return;
             }
-            MessageBuffer answer;
+            pause(group.workMs());
+            MessageBuffer row;
             try {
                 byte[] value = group.run(member, statement);
-                answer = rowResponse(value, statement.write() ? "INSERT 0 1" : "SELECT 1");
+                row = row(value, statement.write() ? "INSERT 0 1" : "SELECT 1");
             } catch (QuoteGroup.ReadOnlyServerException e) {
-                socket.getOutputStream().write(errorResponse("25006").bytes());
+                sendError(socket, "25006", connection, statement);
+                return;
+            }
+            if (!statement.write()) {
+                group.recordRead(member, statement, connection, arrivedAt);
+            }
+            if (fault != null && fault.kind().affectsStatus()) {
+                applyStatusFault(socket, fault, connection, statement, row);
                 return;
             }
+            putStatus(row).parameterStatus("pressure", group.loadReport(member)).readyForQuery();
             if (fault != null) {
-                applyFault(socket, fault, answer.bytes());
+                applyFault(socket, fault, connection, statement, row.bytes());
             } else {
-                socket.getOutputStream().write(answer.bytes());
+                recordStatement(connection, statement.id());
+                socket.getOutputStream().write(row.bytes());
             }
         } finally {
             group.requestEnded(member);
         }
     }
 
+    /** Applies a fault to the role and position that an answer states behind its row. */
+    private void applyStatusFault(Socket socket, Fault fault, long connection, Statement statement, MessageBuffer row)
+            throws IOException {
+        OutputStream out = socket.getOutputStream();
+        byte[] status = putStatus(new MessageBuffer()).bytes();
+        switch (fault.kind()) {
+            case LATE_STATUS -> {
+                out.write(row.bytes());
+                pause(LATE_STATUS_MS);
+                recordStatement(connection, statement.id());
+                out.write(status);
+                out.write(new MessageBuffer().readyForQuery().bytes());
+            }
+            case STATUS_ONLY -> {
+                recordStatement(connection, statement.id());
+                out.write(status);
+                discardInput(socket);
+            }
+            default -> {
+                recordStatement(connection, statement.id());
+                pause(HELD_UP_MS);
+                out.write(row.bytes());
+                out.write(status);
+                out.write(new MessageBuffer().readyForQuery().bytes());
+            }
+        }
+    }
+
+    private static void pause(long ms) throws IOException {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException();
+        }
+    }
+
+    /** Discards input until the client closes the connection. */
+    private static void discardInput(Socket socket) throws IOException {
+        while (socket.getInputStream().read() >= 0) {
+            // nothing is answered
+        }
+        throw new IOException("client closed the connection during a fault that leaves it open");
+    }
+
     /** Applies a fault; {@code answer} is the complete answer of the request, null if it has not run. */
-    private void applyFault(Socket socket, Fault fault, byte[] answer) throws IOException {
+    private void applyFault(Socket socket, Fault fault, long connection, Statement statement, byte[] answer) throws IOException {
         if (fault.phase() == Fault.Phase.MIDWAY) {
             // stop within the row: with CommandComplete the client would have a complete answer
             int rowEnd = answer.length / 2;
             socket.getOutputStream().write(answer, 0, Math.min(rowEnd, answer.length * fault.progress() / 16));
         }
         switch (fault.kind()) {
-            case SILENT -> {
-                while (socket.getInputStream().read() >= 0) {
-                    // discard input until the client closes the connection
-                }
-                throw new IOException("client closed the connection during a SILENT fault");
-            }
+            case SILENT -> discardInput(socket);
             case RESET -> {
                 socket.setSoLinger(true, 0);
                 socket.close();
@@ -129,13 +204,15 @@
                 java.util.Arrays.fill(garbage, (byte) 0xff);
                 socket.getOutputStream().write(garbage);
             }
-            case ERROR -> socket.getOutputStream().write(errorResponse("XX000").bytes());
-            case FULL -> socket.getOutputStream().write(errorResponse("53300").bytes());
-            case MISS -> socket.getOutputStream().write(errorResponse("25006").bytes());
+            case ERROR -> sendError(socket, "XX000", connection, statement);
+            case FULL -> sendError(socket, "53300", connection, statement);
+            case MISS -> sendError(socket, "25006", connection, statement);
+            default -> throw new IllegalArgumentException(fault + " needs a request that has run");
         }
     }
 
-    private MessageBuffer rowResponse(byte[] value, String tag) throws IOException {
+    /** Composes the messages of a result with one row, up to CommandComplete. */
+    private MessageBuffer row(byte[] value, String tag) throws IOException {
         return new MessageBuffer().put('T', m -> {
             m.writeShort(1);
             m.writeBytes("data\0");
@@ -149,15 +226,13 @@
             m.writeShort(1);
             m.writeInt(value.length);
             m.write(value);
-        }).put('C', m -> m.writeBytes(tag + "\0")).parameterStatus("replication_role", group.role(member))
-                .parameterStatus("log_position", Long.toString(group.positionMs(member)))
-                .parameterStatus("pressure", group.loadReport(member)).readyForQuery();
+        }).put('C', m -> m.writeBytes(tag + "\0"));
     }
 
-    private MessageBuffer errorResponse(String sqlState) throws IOException {
-        return new MessageBuffer().put('E', m -> m.writeBytes("SERROR\0C" + sqlState + "\0Mplanned\0\0"))
-                .parameterStatus("replication_role", group.role(member))
-                .parameterStatus("log_position", Long.toString(group.positionMs(member))).readyForQuery();
+    private void sendError(Socket socket, String sqlState, long connection, Statement statement) throws IOException {
+        recordStatement(connection, statement.id());
+        MessageBuffer error = new MessageBuffer().put('E', m -> m.writeBytes("SERROR\0C" + sqlState + "\0Mplanned\0\0"));
+        socket.getOutputStream().write(putStatus(error).readyForQuery().bytes());
     }
 
     @Override
--- a/standins/src/main/java/holdmux/standins/QuoteGroup.java
+++ b/standins/src/main/java/holdmux/standins/QuoteGroup.java
@@ -25,6 +25,11 @@
         public final String name;
         volatile long lagMs;
         volatile boolean draining;
+        /** The highest position that it had; a position never goes back. */
+        private long reachedMs;
+        /** Its last load report, and when that is renewed. */
+        private String report = "";
+        private long reportExpiresAtMs;
         private volatile int inFlight;
 
         Member(String name) {
@@ -68,20 +73,58 @@
     private final Map<String, List<String>> executedOn = new HashMap<>();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final Map<String, Deque<Fault>> plannedFaults = new HashMap<>();
+    private final ServingLog servingLog = new ServingLog();
     private String primary;
     private long lastCommitMs;
+    private long reportIntervalMs;
+    private volatile boolean statusInEveryAnswer;
+    private volatile long workMs;
 
     /** Adds a member; the first one becomes the primary. */
     public synchronized Member add(String name) {
         Member member = new Member(name);
         members.put(name, member);
-        primary = primary == null ? name : primary;
+        if (primary == null) {
+            promote(name);
+        }
         return member;
     }
 
-    /** Makes another member the primary. */
+    /** Makes another member the primary; the former one keeps its position until its lag has passed. */
     public synchronized void promote(String name) {
+        if (primary != null) {
+            positionMs(member(primary));
+        }
         primary = name;
+        servingLog.add(new ServingLog.Promotion(name, System.nanoTime()));
+    }
+
+    /** Returns what the servers served and stated. */
+    public ServingLog servingLog() {
+        return servingLog;
+    }
+
+    /** Sets how long a server's load report is repeated before it is renewed; 0, the default, renews it for each answer. */
+    public synchronized void setReportInterval(long ms) {
+        reportIntervalMs = ms;
+    }
+
+    /** Sets whether servers state their role and position in answers to probes and to commands without effect too, and at the start. */
+    public void setStatusInEveryAnswer(boolean value) {
+        statusInEveryAnswer = value;
+    }
+
+    /** Sets how long a PostgreSQL server takes over each request; 0 by default. */
+    public void setWork(long ms) {
+        workMs = ms;
+    }
+
+    long workMs() {
+        return workMs;
+    }
+
+    boolean isStatusInEveryAnswer() {
+        return statusInEveryAnswer;
     }
 
     /** Returns whether a member is the primary. */
@@ -139,11 +182,28 @@
     /** Returns the log position of a member as Unix time in milliseconds; on the primary never before the last commit. */
     synchronized long positionMs(Member member) {
         long now = System.currentTimeMillis();
-        return isPrimary(member) ? Math.max(now, lastCommitMs) : now - member.lagMs;
+        long position = isPrimary(member) ? Math.max(now, lastCommitMs) : now - member.lagMs;
+        member.reachedMs = Math.max(member.reachedMs, position);
+        return member.reachedMs;
+    }
+
+    /** Records a read that arrived completely and runs. */
+    void recordRead(Member member, Statement statement, long connection, long atNs) {
+        long ageMs = isPrimary(member) ? 0 : Math.max(0, System.currentTimeMillis() - positionMs(member));
+        servingLog.add(new ServingLog.ServedRead(member.name, statement.id(), connection, atNs, ageMs * 1_000_000L));
     }
 
     /** Returns the load report of a member in its wire format. */
-    String loadReport(Member member) {
+    synchronized String loadReport(Member member) {
+        long now = System.currentTimeMillis();
+        if (now >= member.reportExpiresAtMs) {
+            member.report = newReport(member);
+            member.reportExpiresAtMs = now + reportIntervalMs;
+        }
+        return member.report;
+    }
+
+    private String newReport(Member member) {
         return "x0=" + positionMs(member) / 1000.0 + ",x1=" + (isPrimary(member) ? 1 : 0) + ",inflight=" + member.inFlight
                 + ",util=" + Math.min(1, member.inFlight / 4.0);
     }
--- a/standins/src/main/java/holdmux/standins/StandIns.java
+++ b/standins/src/main/java/holdmux/standins/StandIns.java
@@ -19,6 +19,10 @@
     private static final int FIRST_PORT = 20_000, PORT_COUNT = 10_000;
     private static int nextPort = (int) (ProcessHandle.current().pid() * 97 % PORT_COUNT);
 
+    /** Load reports state positions in seconds from an epoch this long before the start, in single precision. */
+    private static final long EPOCH_AGE_MS = 60_000;
+
+    private final long epochNs = (System.currentTimeMillis() - EPOCH_AGE_MS) * 1_000_000L;
     private final QuoteGroup group = new QuoteGroup();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, String> kinds = new LinkedHashMap<>();
@@ -120,7 +124,7 @@
                 + "\"probes\":true,\"retry-after\":true},\"balancers\":1,\"discovery\":\"automatic\","
                 + "\"family-info\":{\"class-bound-ns\":[300000000,0,0,0,0],\"consistency\":[\"bounded\",\"session\",\"any\","
                 + "\"fresh\",\"write\"],\"guards\":\"off\",\"shows-role\":\"late\",\"token-mode\":\"remembered\","
-                + "\"wait-ns\":0,\"zero-ns\":5},\"guarantees\":{\"answer-slack-ns\":20000000,\"cold-share\":0.15,"
+                + "\"wait-ns\":0,\"zero-ns\":" + epochNs + "},\"guarantees\":{\"answer-slack-ns\":20000000,\"cold-share\":0.15,"
                 + "\"drain-grace-ns\":2000000000,\"fall-ns\":1500000000,\"overload-factor\":2.0,"
                 + "\"ramp-time-ns\":13000000000},\"me\":0,\"over-share-worth\":0.1,\"report\":{\"fields\":[\"x0\",\"x1\","
                 + "\"outstanding\",\"utilization\"],\"how\":\"inline\"},\"request-classes\":[" + classes + "],\"skus\":[\""
