--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -473,7 +473,7 @@
     }
 
     private void probeEnded(long serverId, Reply reply, long latencyNs) {
-        submitEvent(new Checked(serverId, reply.outcome(), latencyNs, reply.report()));
+        submitEvent(new Checked(serverId, reply.outcome(), latencyNs, reply.role(), reply.positionNs(), reply.report()));
     }
 
     /** Passes one event to the decision module, with the current time. The lock must be held; must not be called by an action. */
--- a/pooler/src/main/java/holdmux/core/FreshnessMonitor.java
+++ b/pooler/src/main/java/holdmux/core/FreshnessMonitor.java
@@ -32,6 +32,8 @@
         attempt.proof = proof;
         switch (proof.kind()) {
             case POSITION -> counters.count(Counter.READS_BY_POSITION);
+            case CURRENT -> counters.count(Counter.READS_BY_CURRENT);
+            case LEASE -> counters.count(Counter.READS_BY_LEASE);
             case ROLE -> counters.count(Counter.READS_BY_ROLE);
             default -> { }
         }
--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -74,6 +74,10 @@
     /** What an answer says counts as known 100 ms after the store wrote it, whether or not this pooler has read it;
      * 25 ms are deducted for the time that the send takes. */
     private static final long ANSWER_KNOWN_NS = 75 * MS;
+    /** A role is relied on only for positions more recent than reports show, which is this many of their usual ages,
+     * and only if it was proved within the longer of the two further times. */
+    private static final double REPORT_AGES = 2, ROLE_REPORT_AGES = 3;
+    private static final long MIN_ROLE_AGE_NS = 250 * MS;
     /** Safety margin before the end of a deduplication window, and its largest share of the window: a store that pauses
      * takes a message later than it was sent, although the system has received it. */
     private static final long DEDUP_MARGIN_NS = 400 * MS, DEDUP_MARGIN_DIVISOR = 4;
@@ -116,12 +120,9 @@
         Availability availability = Availability.READY;
         long startedAt;
         boolean listedAsWriter;
-        /** All commits up to here are known to be applied. Never decreases. */
-        long appliedPosition;
+        final StoreEvidence evidence = new StoreEvidence();
         /** Estimated replication lag, when it was last observed, and when the next trial request is due. */
         long lag, lagEstimatedAt, nextTrialAt;
-        /** When it was last known to be no primary, and to be one; since when its role is uncertain, or 0. */
-        long leadershipDeniedAt, leadershipConfirmedAt, roleUncertainSince;
         /** The last state of its role that was noted. */
         RoleState notedRole = RoleState.UNKNOWN;
         int inFlight;
@@ -159,32 +160,27 @@
 
         /** Whether it is taken for the primary by the word of the list alone. */
         boolean isUnprovenLeader() {
-            return group.leader == this && leadershipConfirmedAt == 0;
-        }
-
-        /** Whether the latest that is known of its role is that it is not the primary. */
-        boolean isKnownReplica() {
-            return leadershipDeniedAt > 0 && leadershipDeniedAt >= leadershipConfirmedAt;
+            return group.leader == this && !evidence.hasBeenPrimary();
         }
 
         /** What is known of its role now. */
         RoleState roleState() {
-            if (isKnownReplica()) {
+            if (evidence.isKnownReplica()) {
                 return RoleState.REPLICA;
             }
             if (group.leader != this) {
                 return RoleState.UNKNOWN;
             }
-            return roleUncertainSince > 0 ? RoleState.UNCERTAIN
-                    : leadershipConfirmedAt > 0 ? RoleState.PRIMARY : RoleState.LISTED_PRIMARY;
+            return evidence.isUncertain() ? RoleState.UNCERTAIN
+                    : evidence.hasBeenPrimary() ? RoleState.PRIMARY : RoleState.LISTED_PRIMARY;
         }
 
         /** The time that {@link #roleState} is from. */
         long roleStateAsOf() {
             return switch (roleState()) {
-                case REPLICA -> leadershipDeniedAt;
-                case UNCERTAIN -> roleUncertainSince;
-                case PRIMARY -> leadershipConfirmedAt;
+                case REPLICA -> evidence.replicaAsOf();
+                case UNCERTAIN -> evidence.uncertainSince();
+                case PRIMARY -> evidence.primaryAsOf();
                 default -> 0;
             };
         }
@@ -407,6 +403,9 @@
             case BOUNDED, ANY -> pickForBoundedRead(request);
         };
         if (store == null || !send(request, store)) {
+            if (store != null && permission(request, store) == Permission.DATA_TOO_OLD) {
+                probeForProof(store);
+            }
             enqueue(request);
         }
     }
@@ -450,7 +449,7 @@
         }
         Store leader = request.group.leader;
         Predicate<Store> candidate = store -> store != leader && !store.unhealthy && now - store.lag >= required
-                && store.appliedPosition < required;
+                && store.evidence.appliedPosition() < required;
         if (request.group.members.stream().anyMatch(store -> store.probing && candidate.test(store))) {
             return true;
         }
@@ -470,7 +469,7 @@
     private Verdict verdict(Group group, long token) {
         List<Store> replicas = group.members.stream()
                 .filter(store -> store != group.leader && store.countsAsMember()).toList();
-        long caughtUp = replicas.stream().filter(store -> store.appliedPosition >= token).count();
+        long caughtUp = replicas.stream().filter(store -> store.evidence.appliedPosition() >= token).count();
         return caughtUp == 0 ? Verdict.NONE : caughtUp == replicas.size() ? Verdict.ALL : Verdict.ANY;
     }
 
@@ -487,8 +486,9 @@
     /** Whether a replica is known to have reached a position or, where stores check positions, seems to have. */
     private boolean hasReached(Store store, OpenRequest request, long required) {
         boolean reachedFloor = request.requestClass.consistency() != Consistency.SESSION
-                || store.appliedPosition >= request.group.floor;
-        boolean recentEnough = store.appliedPosition >= required || storesCheckPosition && now - store.lag >= required;
+                || store.evidence.appliedPosition() >= request.group.floor;
+        boolean recentEnough = store.evidence.appliedPosition() >= required
+                || storesCheckPosition && now - store.lag >= required;
         return store != request.group.leader && store.group == request.group && reachedFloor && recentEnough;
     }
 
@@ -566,12 +566,11 @@
     public List<RoleObserved> roles() {
         List<RoleObserved> roles = new ArrayList<>();
         for (Store store : stores.values()) {
-            if (store.isKnownReplica()) {
-                roles.add(new RoleObserved(store.id, Role.REPLICA, store.leadershipDeniedAt));
-            } else if (store.group.leader == store && store.roleUncertainSince > 0) {
-                roles.add(new RoleObserved(store.id, Role.UNKNOWN, store.roleUncertainSince));
-            } else if (store.group.leader == store && store.leadershipConfirmedAt > 0) {
-                roles.add(new RoleObserved(store.id, Role.PRIMARY, store.leadershipConfirmedAt));
+            switch (store.roleState()) {
+                case REPLICA -> roles.add(new RoleObserved(store.id, Role.REPLICA, store.roleStateAsOf()));
+                case UNCERTAIN -> roles.add(new RoleObserved(store.id, Role.UNKNOWN, store.roleStateAsOf()));
+                case PRIMARY -> roles.add(new RoleObserved(store.id, Role.PRIMARY, store.roleStateAsOf()));
+                default -> { }
             }
         }
         return roles;
@@ -588,13 +587,14 @@
         touchedGroups.add(store.group);
         switch (e.role()) {
             case PRIMARY -> {
-                markRoleCertain(store, store.leadershipConfirmedAt == 0 ? now : e.atNs());
+                markRoleCertain(store, store.evidence.hasBeenPrimary() ? e.atNs() : now);
                 markLeader(store, e.atNs());
             }
             case REPLICA -> markNotLeader(store, e.atNs());
             default -> {
-                store.roleUncertainSince = e.atNs() <= store.leadershipConfirmedAt ? store.roleUncertainSince
-                        : Math.max(store.roleUncertainSince, e.atNs());
+                if (e.atNs() > store.evidence.primaryAsOf()) {
+                    store.evidence.becomeUncertain(e.atNs());
+                }
                 noteRole(store);
             }
         }
@@ -613,16 +613,14 @@
     }
 
     private void markRoleUncertain(Store store) {
-        store.roleUncertainSince = now;
+        store.evidence.becomeUncertain(now);
         noteRole(store);
     }
 
     /** The store has stated its role at this time, which ends an uncertainty that began before. */
     private void markRoleCertain(Store store, long atNs) {
-        if (store.roleUncertainSince > 0 && atNs >= store.roleUncertainSince) {
-            store.roleUncertainSince = 0;
-            noteRole(store);
-        }
+        store.evidence.statedRole(atNs);
+        noteRole(store);
     }
 
     /** Counts and reports that something else is known of a store's role than when it was last noted. */
@@ -696,12 +694,34 @@
         if (storesCheckPosition || required == 0) {
             return new ReadProof(ReadProof.Kind.NOT_NEEDED, required, 0);
         }
-        if (store.appliedPosition >= required) {
-            return new ReadProof(ReadProof.Kind.POSITION, required, store.appliedPosition);
+        StoreEvidence evidence = store.evidence;
+        if (evidence.appliedPosition() >= required) {
+            return new ReadProof(ReadProof.Kind.POSITION, required, evidence.appliedPosition());
+        }
+        // what must be seen was written before the request arrived, and before the time that its bound allows
+        boolean isBounded = request.requestClass.consistency() == Consistency.BOUNDED;
+        if (evidence.isCurrentAsOf(isBounded ? required : request.arrivedAt)) {
+            return new ReadProof(ReadProof.Kind.CURRENT, required, evidence.currentAsOf());
         }
-        boolean isPrimary = store == request.group.leader && store.roleUncertainSince == 0;
-        ReadProof.Kind kind = isPrimary ? ReadProof.Kind.ROLE : ReadProof.Kind.NONE;
-        return new ReadProof(kind, required, store.leadershipConfirmedAt);
+        boolean isLeader = store == request.group.leader;
+        if (isLeader && evidence.isCurrentAsOf(now - ANSWER_KNOWN_NS)) {
+            return new ReadProof(ReadProof.Kind.LEASE, required, evidence.currentAsOf());
+        }
+        boolean byRole = isLeader && !evidence.isUncertain() && isRoleSufficient(store, required);
+        return new ReadProof(byRole ? ReadProof.Kind.ROLE : ReadProof.Kind.NONE, required, evidence.primaryAsOf());
+    }
+
+    /** Whether a read may rely on the belief that a store is the primary, since no probe can prove the position. */
+    private boolean isRoleSufficient(Store store, long required) {
+        boolean probesProvePositions = settings.limits().probes() && settings.positionField() >= 0
+                && settings.primaryField() >= 0 && reportAgeNs > 0;
+        if (!probesProvePositions) {
+            return true;
+        }
+        boolean tooRecentForReports = required > now - (long) (REPORT_AGES * reportAgeNs);
+        long oldestRole = now - Math.max(MIN_ROLE_AGE_NS, (long) (ROLE_REPORT_AGES * reportAgeNs));
+        return !store.evidence.statesRoleToProbes() && tooRecentForReports
+                && store.evidence.primaryAsOf() >= oldestRole;
     }
 
     /** What proves that the data of an attempt's store are new enough, as of the last {@link #sendPermission}. */
@@ -882,7 +902,7 @@
                 : request.firstMayHaveRun;
         request.reachedStore |= e.outcome() != Outcome.CONNECT_FAILED && e.outcome() != Outcome.MOOT;
         touchedGroups.add(request.group);
-        applyReport(attempt.store, e.report(), e.role() == Role.PRIMARY);
+        applyReport(attempt.store, e.report(), e.role());
         updatePositionAndRole(request, attempt, e);
         updateHealth(request, attempt, e);
         if (e.isFinal() || request.done) {
@@ -921,7 +941,7 @@
             return;
         }
         if (e.outcome() == Outcome.OK && e.role() == Role.REPLICA) {
-            store.appliedPosition = Math.max(store.appliedPosition, attempt.requiredPosition);
+            store.evidence.reached(attempt.requiredPosition);
             store.lag = Math.min(store.lag, Math.max(0, attempt.sentAt - attempt.requiredPosition));
         } else if (e.outcome() == Outcome.MISS && attempt.requiredPosition > 0) {
             setLag(store, Math.max(store.lag, now - attempt.requiredPosition + MIN_TRIAL_DELAY_NS));
@@ -933,15 +953,16 @@
     private void applyStatus(Store store, Role role, long positionNs, long sentAt, long statedAt) {
         if (role == Role.PRIMARY) {
             markLeader(store, sentAt); // the send time: a delayed answer must not override a newer denial
+            store.evidence.wasCurrent(sentAt);
         } else if (role == Role.REPLICA) {
             markNotLeader(store, statedAt);
         }
         if (role != Role.UNKNOWN) {
             rolesReported = true;
-            markRoleCertain(store, statedAt);
+            markRoleCertain(store, role == Role.PRIMARY ? sentAt : statedAt);
         }
         if (positionNs > 0 && positionNs <= now + MS) { // reported positions are rounded up
-            store.appliedPosition = Math.max(store.appliedPosition, positionNs);
+            store.evidence.reached(positionNs);
             if (role == Role.REPLICA && statedAt == now) {
                 setLag(store, Math.max(0, now - positionNs));
             }
@@ -958,7 +979,7 @@
         touchedGroups.add(store.group);
         boolean isRecent = e.begunAgoNs() <= ANSWER_KNOWN_NS;
         if (isRecent) {
-            applyReport(store, e.report(), e.role() == Role.PRIMARY);
+            applyReport(store, e.report(), e.role());
         }
         applyStatus(store, e.role(), e.positionNs(), now - e.sentAgoNs(), isRecent ? now : now - e.begunAgoNs());
     }
@@ -980,9 +1001,9 @@
 
     private void markLeader(Store store, long atNs) {
         Group group = store.group;
-        if (atNs >= group.leaderConfirmedAt && atNs > store.leadershipDeniedAt) {
+        if (atNs >= group.leaderConfirmedAt && atNs > store.evidence.replicaAsOf()) {
             Store previous = group.leader;
-            store.leadershipConfirmedAt = atNs;
+            store.evidence.wasPrimary(atNs);
             group.leader = store;
             group.leaderConfirmedAt = atNs;
             noteRole(store);
@@ -993,7 +1014,7 @@
     }
 
     private void markNotLeader(Store store, long atNs) {
-        store.leadershipDeniedAt = Math.max(store.leadershipDeniedAt, atNs);
+        store.evidence.wasReplica(atNs);
         if (store.group.leader == store && atNs >= store.group.leaderConfirmedAt) {
             store.group.leader = null;
             store.group.leaderConfirmedAt = atNs;
@@ -1233,7 +1254,7 @@
         Store leastRecentlyChecked = null;
         Store uncertain = null;
         for (Store store : group.members) {
-            if ((leaderUnavailable || store.unhealthy || !store.verified || store.roleUncertainSince > 0)
+            if ((leaderUnavailable || store.unhealthy || !store.verified || store.evidence.isUncertain())
                     && store.nextTrialAt <= now) {
                 uncertain = uncertain == null || store.probedAt < uncertain.probedAt ? store : uncertain;
             } else if (store.isReady() && !store.probing && (leastRecentlyChecked == null
@@ -1254,14 +1275,26 @@
     private boolean probeStore(Store store, boolean urgent) {
         boolean due = store.isReady() && !store.probing && now - store.probedAt >= MIN_PROBE_INTERVAL_NS;
         if (due && settings.limits().probes() && (urgent || probeBudget >= 1)) {
-            store.probing = true;
-            store.probedAt = now;
             probeBudget = Math.max(0, probeBudget - 1);
-            sink.accept(new Inspect(store.id));
+            startProbe(store);
         }
         return store.probing || now - store.probedAt <= MIN_PROBE_INTERVAL_NS;
     }
 
+    /** Probes a primary for a read that needs a proof. The budget is left for finding replicas and primaries. */
+    private void probeForProof(Store store) {
+        boolean due = !store.probing && now - store.probedAt >= MIN_PROBE_INTERVAL_NS;
+        if (due && settings.limits().probes()) {
+            startProbe(store);
+        }
+    }
+
+    private void startProbe(Store store) {
+        store.probing = true;
+        store.probedAt = now;
+        sink.accept(new Inspect(store.id));
+    }
+
     private void onChecked(Checked e) {
         Store store = stores.get(e.store());
         if (store == null) {
@@ -1269,11 +1302,14 @@
         }
         store.probing = false;
         touchedGroups.add(store.group);
+        if (e.role() != Role.UNKNOWN) {
+            store.evidence.answeredProbeWithRole();
+        }
         if (e.outcome() == Outcome.OK) {
             store.verified = true;
             store.unreachable = false;
             store.probeOkAt = now;
-            applyReport(store, e.report(), false);
+            applyReport(store, e.report(), e.role());
         } else if (e.outcome() == Outcome.RESET) {
             onConnectionReset(store);
         } else if (e.outcome() != Outcome.FULL && store.answeredAt < store.probedAt && store.probedAt > stalledAt) {
@@ -1281,10 +1317,11 @@
             store.processDown |= e.outcome() != Outcome.ERROR;
             store.unreachable |= e.outcome() == Outcome.CONNECT_FAILED;
         }
+        applyStatus(store, e.role(), e.positionNs(), now - e.latencyNs(), now);
     }
 
-    /** Applies a load report unless it is incomplete or ahead of time; a primary's answer overrides the role in it. */
-    private void applyReport(Store store, float[] report, boolean fromLeader) {
+    /** Applies a load report unless it is incomplete or ahead of time; a role stated beside it is newer and counts. */
+    private void applyReport(Store store, float[] report, Role statedRole) {
         int lastField = Math.max(settings.positionField(), settings.primaryField());
         if (settings.positionField() < 0 || report.length <= lastField) {
             return;
@@ -1298,13 +1335,13 @@
         double excess = Math.max(fullyUtilized, reportField(report, settings.inflightField()) - ASSUMED_CORES);
         store.reportedQueue = Math.max(excess, reportField(report, settings.queueField()));
         store.reportedAt = now;
-        store.appliedPosition = Math.max(store.appliedPosition, position);
+        store.evidence.reached(position);
         boolean primary = settings.primaryField() >= 0 && report[settings.primaryField()] == 1f;
-        if (primary) {
-            reportAgeNs += EWMA_ALPHA * (now - position - reportAgeNs);
+        if (primary && statedRole != Role.REPLICA) {
+            reportAgeNs += (reportAgeNs == 0 ? 1 : EWMA_ALPHA) * (now - position - reportAgeNs);
             markLeader(store, Math.max(position, 1));
             markRoleCertain(store, position);
-        } else if (!fromLeader) {
+        } else if (!primary && statedRole != Role.PRIMARY) {
             markNotLeader(store, now - 2 * (long) reportAgeNs);
             // the report may be older or newer than the store's own statement: it must confirm its role
             if (store.group.leader == store) {
@@ -1356,7 +1393,7 @@
             store.coldSince = listing.startedAt();
         }
         boolean newlyNamedWriter = listing.writer() && !store.listedAsWriter && group.leader == null
-                && store.leadershipDeniedAt == 0;
+                && store.evidence.replicaAsOf() == 0;
         store.listedAsWriter = listing.writer();
         group.leader = newlyNamedWriter && settings.showsRole() ? store : group.leader;
         noteRole(store);
--- a/pooler/src/main/java/holdmux/decision/SplitterApi.java
+++ b/pooler/src/main/java/holdmux/decision/SplitterApi.java
@@ -81,8 +81,14 @@
     public record Answered(long id, long store, int attempt, boolean isFinal, Outcome outcome,
             long latencyNs, Role role, long positionNs, float[] report) implements Event {}
 
-    /** A probe ended. */
-    public record Checked(long store, Outcome outcome, long latencyNs, float[] report) implements Event {}
+    /** A probe ended; role and position are what its answer states of the moment of its writing, besides the report. */
+    public record Checked(long store, Outcome outcome, long latencyNs, Role role, long positionNs, float[] report)
+            implements Event {
+        /** A probe ended whose answer states a report alone. */
+        public Checked(long store, Outcome outcome, long latencyNs, float[] report) {
+            this(store, outcome, latencyNs, Role.UNKNOWN, 0, report);
+        }
+    }
 
     /** A timer expired. */
     public record Wakeup(int handle) implements Event {}
--- a/pooler/src/test/java/holdmux/decision/SharedRolesTest.java
+++ b/pooler/src/test/java/holdmux/decision/SharedRolesTest.java
@@ -104,7 +104,9 @@
         assertEquals(1, lastTarget(f.advance(5, f.probeOk(1, 0, true))));
         f.advance(5, f.answered(2, 0, 1, Outcome.OK, Role.PRIMARY, 0));
         f.advance(5_000, new LateStatus(1, 5_100 * SplitterFixture.MS, 5_095 * SplitterFixture.MS, Role.REPLICA, 0, new float[0]));
-        assertEquals(1, lastTarget(f.advance(5, arrival(3, FRESH_READ, 0))));
+        assertEquals(List.of(Role.PRIMARY), f.splitter.roles().stream().map(RoleObserved::role).toList());
+        f.advance(5, arrival(3, FRESH_READ, 0));
+        assertEquals(1, lastTarget(f.advance(5, f.probeOk(1, 0, true))), "a role that is 5 s old has to be proved again");
     }
 
     /** An answer lost in a reset may have stated another role: the other process has to doubt the primary too. */
