Soak: replicas lag, primaries change, statements get lost, and reads of old data are judged

Need: the soak could not break the rule on old data: candidates for the primary never lagged, reports had no usable positions, all poolers were busy, and nothing judged the age of what was read. Half of the poolers have clients that rest for 0.3 to 1.2 s, so that little is heard. FreshnessAudit judges. The summary has the sums of the counters that tell by what proof reads were sent.

--- a/app/src/main/java/holdmux/app/soak/FaultSoak.java
+++ b/app/src/main/java/holdmux/app/soak/FaultSoak.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -44,6 +45,11 @@
     /** Counters that must be 0 at the end. */
     private static final List<String> ZERO_COUNTERS = List.of("violations_unpermitted", "violations_drain", "violations_client_gone",
             "violations_repeat", "violations_no_answer", "gate_disagreements", "internal_errors", "thread_restarts");
+    /** Counters of the last process of each pooler that are printed as sums. */
+    private static final List<String> READ_PROOFS = List.of("requests_taken", "probes", "reads_by_position", "reads_by_current",
+            "reads_by_lease", "reads_by_role", "reads_too_old");
+    /** For how long servers repeat a load report before they renew it. */
+    private static final long MIN_REPORT_INTERVAL_MS = 44, MAX_REPORT_INTERVAL_MS = 230;
     private static final int MAX_EXTRA_RELOADS = 3, MAX_RELOAD_GAP_MS = 400, IDLE_CLIENTS = 500;
     /** A server drains or is removed for at least this long: delivery, the grace period, and some seconds in which it is enforced. */
     private static final long MIN_OUT_OF_SERVICE_MS = 6_000;
@@ -64,6 +70,8 @@
     /** Poolers, agents and servers that a fault holds exclusively now. */
     private final List<Object> faultTargets = new ArrayList<>();
     private String primary = "s-1";
+    /** Sums of the poolers' counters that tell by what proof reads were sent. */
+    private final Map<String, Long> readProofs = new TreeMap<>();
 
     /** Creates a soak that prints its summary and violations to {@code out}. */
     public FaultSoak(PrintStream out) throws IOException {
@@ -82,11 +90,14 @@
         SplittableRandom random = new SplittableRandom(seed);
         List<Future<?>> clients = new ArrayList<>();
         for (SoakPooler pooler : poolers) {
+            boolean sparse = poolers.indexOf(pooler) % 2 == 1;
             for (int i = 0; i < CLIENTS; i++) {
-                clients.add(threads.submit(new SoakClient(pooler, i, group(), audit, random.nextLong(), finished::get)));
+                clients.add(threads.submit(new SoakClient(pooler, i, sparse, group(), audit, random.nextLong(), finished::get)));
             }
         }
-        List<Future<?>> faults = new ArrayList<>();
+        // with a schedule of its own, so that the draws of a seed stay as they were
+        ReplicaLag lag = new ReplicaLag(group(), lagByServer(), this::promoteForLag, seed);
+        List<Future<?>> faults = new ArrayList<>(List.of(threads.submit(() -> lag.run(finished::get))));
         long endNs = System.nanoTime() + seconds * 1_000 * NANOS_PER_MS;
         while (System.nanoTime() < endNs) {
             FaultType fault = FaultType.values()[random.nextInt(FaultType.values().length)];
@@ -95,14 +106,16 @@
             faults.add(threads.submit(faultTask(fault, durationMs, new SplittableRandom(faultSeed))));
             Thread.sleep(random.nextInt(MAX_GAP_MS));
         }
-        awaitAll(faults);
+        awaitAll(faults.subList(1, faults.size()));
         returnAllToService();
         finished.set(true);
+        awaitAll(faults);
         awaitAll(clients);
         checkPoolers();
         List<String> violations = audit.verdict(group().arrivals(), group().runCounts());
+        violations.addAll(audit.freshness().verdict(group().servingLog()));
         out.println("seed " + seed + ": " + poolers.size() + " poolers, " + audit.requests() + " requests, "
-                + group().arrivals().size() + " sends, " + faultCounts + ", " + (violations.isEmpty() ? "no rule broken" : "BROKEN"));
+                + group().arrivals().size() + " sends, " + lag.periods() + " periods of lag, " + readProofs + ", " + faultCounts + ", " + (violations.isEmpty() ? "no rule broken" : "BROKEN"));
         violations.stream().limit(20).forEach(violation -> out.println("  " + violation));
         return violations;
     }
@@ -125,12 +138,13 @@
         for (int i = 1; i <= SERVERS; i++) {
             String server = "s-" + i;
             standIns.start(server, StandIns.PG_KIND);
-            // the lag is fixed, and 0 for servers that may become primary: a log position must never go back
-            group().setLag(server, i <= PRIMARY_CANDIDATES ? 0 : 20L * i);
             FaultRelay relay = new FaultRelay(standIns.address(server));
             serverRelays.put(server, relay);
             standIns.setAddress(server, relay.address());
         }
+        lagByServer().forEach(group()::setLag);
+        group().setReportInterval(MIN_REPORT_INTERVAL_MS + Math.floorMod(seed, MAX_REPORT_INTERVAL_MS - MIN_REPORT_INTERVAL_MS));
+        group().setStatusInEveryAnswer(Math.floorMod(seed, 2) == 0);
         List<Future<?>> starts = new ArrayList<>();
         for (int i = 0; i < poolerCount; i++) {
             int port = StandIns.freePort();
@@ -146,6 +160,19 @@
         awaitAll(starts);
     }
 
+    /** The usual lag of each server in milliseconds; it may be 0 for those that become primary. */
+    private static Map<String, Long> lagByServer() {
+        Map<String, Long> lag = new LinkedHashMap<>();
+        for (int i = 1; i <= SERVERS; i++) {
+            lag.put("s-" + i, i <= PRIMARY_CANDIDATES ? 0 : 20L * i);
+        }
+        return lag;
+    }
+
+    private void promoteForLag(int draw) {
+        promote(FaultType.NEW_PRIMARY, "s-" + (1 + draw % PRIMARY_CANDIDATES));
+    }
+
     private static Callable<Void> startTask(SoakPooler pooler) {
         return () -> {
             pooler.start();
@@ -380,6 +407,7 @@
             audit.reportViolation("end: " + pooler.name + " did not end by itself within " + KILL_AFTER_MS + " ms");
         }
         audit.deliveryTimes().addStart(pooler.name, System.nanoTime());
+        audit.freshness().addStart(pooler.name, System.nanoTime());
         pooler.start();
     }
 
@@ -397,6 +425,7 @@
                 continue;
             }
             Map<String, String> counters = pooler.counters();
+            READ_PROOFS.forEach(name -> readProofs.merge(name, Long.parseLong(counters.get(name)), Long::sum));
             ZERO_COUNTERS.stream().filter(name -> !"0".equals(counters.get(name)))
                     .forEach(name -> audit.reportViolation(pooler.name + ": " + name + "=" + counters.get(name)));
             pooler.process().log().lines().filter(line -> line.contains("rule broken"))
--- a/app/src/main/java/holdmux/app/soak/SoakAudit.java
+++ b/app/src/main/java/holdmux/app/soak/SoakAudit.java
@@ -35,6 +35,7 @@
     private final List<OutOfService> outOfService = new ArrayList<>();
     private final DeliveryTimes deliveryTimes = new DeliveryTimes();
     private final DriverDelays driverDelays = new DriverDelays();
+    private final FreshnessAudit freshness = new FreshnessAudit(IN_FLIGHT_NS);
     private final List<Asked> requests = Collections.synchronizedList(new ArrayList<>());
     private final List<String> reported = Collections.synchronizedList(new ArrayList<>());
 
@@ -53,6 +54,11 @@
         return driverDelays;
     }
 
+    /** Returns the judge of reads from old data. */
+    FreshnessAudit freshness() {
+        return freshness;
+    }
+
     /** Records a finished request. */
     void recordRequest(Asked request) {
         requests.add(request);
--- a/app/src/main/java/holdmux/app/soak/SoakClient.java
+++ b/app/src/main/java/holdmux/app/soak/SoakClient.java
@@ -1,15 +1,18 @@
 package holdmux.app.soak;
 
 import holdmux.app.demo.PgClient;
+import holdmux.app.soak.FreshnessAudit.ReadAsked;
 import holdmux.app.soak.SoakAudit.Asked;
 import holdmux.standins.Fault;
 import holdmux.standins.QuoteGroup;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -19,29 +22,41 @@
 final class SoakClient implements Runnable {
     /** A request class of the configuration of {@code StandIns}, and the longest deadline that requests of it are given. */
     private enum Kind {
-        RATE("rate-lookup", 1_200), OWN("my-quotes", 1_000), HISTORY("history", 1_500), CHECK("quote-check", 2_000),
-        WRITE("save-quote", 3_000);
+        RATE("rate-lookup", 1_200, 300), OWN("my-quotes", 1_000, UNBOUNDED), HISTORY("history", 1_500, UNBOUNDED),
+        CHECK("quote-check", 2_000, 0), WRITE("save-quote", 3_000, UNBOUNDED);
 
         final String className;
         final int maxWaitMs;
+        /** How old the data may be; 0 if the read must see everything, {@link #UNBOUNDED} if other checks or none apply. */
+        final int boundMs;
 
-        Kind(String className, int maxWaitMs) {
+        Kind(String className, int maxWaitMs, int boundMs) {
             this.className = className;
             this.maxWaitMs = maxWaitMs;
+            this.boundMs = boundMs;
         }
     }
 
+    private static final int UNBOUNDED = -1;
+    /** The faults that are drawn for a request, and those of the role that its server states, which have draws of their own. */
+    private static final List<Fault.Kind> FAULTS = Arrays.stream(Fault.Kind.values()).filter(kind -> !kind.affectsStatus()).toList();
+    private static final List<Fault.Kind> STATUS_FAULTS = Arrays.stream(Fault.Kind.values()).filter(Fault.Kind::affectsStatus).toList();
+    private static final int STATUS_FAULT_ONE_IN = 12, STATUS_FAULT_ONE_IN_IF_SPARSE = 3;
+    /** Rests of clients that send few requests, so that a pooler hears little of its servers. */
+    private static final int REST_ONE_IN = 2, MIN_REST_MS = 300, MAX_REST_MS = 1_200;
     private static final int PAUSE_MS = 25, MIN_WAIT_MS = 300, ABANDONED_ONE_IN = 15, FAULTY_ONE_IN = 20, COPIED_ONE_IN = 10,
             ANSWER_GRACE_MS = 1_500, COPY_TIMEOUT_MS = 200;
 
+    private static final long NANOS_PER_MS = 1_000_000L;
     /** The SQLSTATE of a copy of a request that was read, and what stands for the answer of a copy that got none. */
     private static final String ID_IN_USE = "22023", NO_ANSWER = "none";
 
     private final SoakPooler pooler;
+    private final boolean sparse;
     private final String name;
     private final QuoteGroup group;
     private final SoakAudit audit;
-    private final SplittableRandom random;
+    private final SplittableRandom random, statusRandom;
     private final BooleanSupplier finished;
     private PgClient connection;
     /** Whether the connection has carried a request before, so that it was idle and the pooler may close it. */
@@ -51,14 +66,21 @@
     /** Writes that may have run, or may still run late. */
     private final Set<String> uncertain = new HashSet<>();
     private int incarnation, kills;
+    /** The incarnation that the connection was opened to; a rest may outlast it. */
+    private int connectedTo;
+    /** How many crowds the pooler had seen the end of when the connection carried its last answer. */
+    private int crowdsAtLastUse;
     private int requestCount;
 
-    SoakClient(SoakPooler pooler, int number, QuoteGroup group, SoakAudit audit, long seed, BooleanSupplier finished) {
+    SoakClient(SoakPooler pooler, int number, boolean sparse, QuoteGroup group, SoakAudit audit, long seed,
+            BooleanSupplier finished) {
         this.pooler = pooler;
+        this.sparse = sparse;
         name = pooler.name + "-" + number;
         this.group = group;
         this.audit = audit;
         random = new SplittableRandom(seed);
+        statusRandom = new SplittableRandom(~seed);
         this.finished = finished;
     }
 
@@ -68,6 +90,9 @@
             while (!finished.getAsBoolean()) {
                 sendNextRequest();
                 Thread.sleep(random.nextInt(2 * PAUSE_MS));
+                if (sparse && statusRandom.nextInt(REST_ONE_IN) == 0) {
+                    rest(statusRandom.nextInt(MIN_REST_MS, MAX_REST_MS));
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -76,6 +101,14 @@
         }
     }
 
+    /** Sends nothing for a while. While the process ends, clients use their connections without rest. */
+    private void rest(long ms) throws InterruptedException {
+        long endNs = System.nanoTime() + ms * NANOS_PER_MS;
+        while (System.nanoTime() < endNs && !pooler.isTerminating() && !finished.getAsBoolean()) {
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
     private void sendNextRequest() throws InterruptedException {
         if (incarnation != pooler.incarnation()) {
             incarnation = pooler.incarnation();
@@ -89,10 +122,14 @@
         int waitMs = MIN_WAIT_MS + random.nextInt(kind.maxWaitMs - MIN_WAIT_MS);
         String id = name + "-" + ++requestCount;
         if (random.nextInt(FAULTY_ONE_IN) == 0) {
-            Fault.Kind fault = Fault.Kind.values()[random.nextInt(Fault.Kind.values().length)];
+            Fault.Kind fault = FAULTS.get(random.nextInt(FAULTS.size()));
             boolean provesNoRun = fault == Fault.Kind.FULL || fault == Fault.Kind.MISS;
             group.planFaults(id, Fault.of(fault, provesNoRun || random.nextBoolean() ? Fault.Phase.BEFORE_RUN : Fault.Phase.AFTER_RUN));
         }
+        planStatusFault(kind, id);
+        if (kind.boundMs != UNBOUNDED) {
+            audit.freshness().recordRead(new ReadAsked(id, pooler.name, System.nanoTime(), kind.boundMs * NANOS_PER_MS));
+        }
         if (random.nextInt(ABANDONED_ONE_IN) == 0) {
             sendAndDisconnect(kind, id, waitMs);
         } else {
@@ -100,10 +137,19 @@
         }
     }
 
+    /** Plans a fault of the stated role; not while the process ends, which then takes as long as the last silent answer. */
+    private void planStatusFault(Kind kind, String id) {
+        boolean drawn = statusRandom.nextInt(sparse ? STATUS_FAULT_ONE_IN_IF_SPARSE : STATUS_FAULT_ONE_IN) == 0;
+        if (drawn && kind != Kind.WRITE && !pooler.isTerminating()) {
+            group.planFaults(id, Fault.of(STATUS_FAULTS.get(statusRandom.nextInt(STATUS_FAULTS.size())), Fault.Phase.AFTER_RUN));
+        }
+    }
+
     private boolean connect() throws InterruptedException {
         try {
             connection = new PgClient(pooler.port(), Kind.WRITE.maxWaitMs + ANSWER_GRACE_MS);
             connectionReused = false;
+            connectedTo = pooler.incarnation();
             return true;
         } catch (IOException e) {
             Thread.sleep(PAUSE_MS);
@@ -156,6 +202,7 @@
                 audit.reportViolation("copy: " + id + " was served twice");
             }
             connectionReused = true;
+            crowdsAtLastUse = pooler.isCrowded() ? pooler.crowds() - 1 : pooler.crowds();
             if (write) {
                 recordWriteResult(id, sqlState);
             } else if (kind == Kind.OWN && sqlState.isEmpty()) {
@@ -197,9 +244,14 @@
      */
     private boolean isExcused(String id, boolean copyMayHaveRun) {
         boolean forwarded = !copyMayHaveRun && group.arrivals().stream().anyMatch(arrival -> arrival.id().equals(id));
-        boolean sameIncarnation = pooler.process().isAlive() && incarnation == pooler.incarnation();
+        boolean sameIncarnation = pooler.process().isAlive() && connectedTo == pooler.incarnation();
         return pooler.isKilled() || killedSince() || !sameIncarnation && !forwarded
-                || (pooler.isTerminating() || pooler.isCrowded() && connectionReused) && !forwarded;
+                || (pooler.isTerminating() || wasCrowdedSinceLastUse() && connectionReused) && !forwarded;
+    }
+
+    /** Whether the pooler had a reason to close the connection between this request and the one before. */
+    private boolean wasCrowdedSinceLastUse() {
+        return pooler.isCrowded() || pooler.crowds() != crowdsAtLastUse;
     }
 
     private boolean killedSince() {
--- a/app/src/main/java/holdmux/app/soak/SoakPooler.java
+++ b/app/src/main/java/holdmux/app/soak/SoakPooler.java
@@ -32,6 +32,7 @@
     private long startedAtNs;
     private volatile int incarnation;
     private volatile int kills;
+    private volatile int crowds;
     private volatile boolean killed, terminating, crowded;
 
     SoakPooler(String name, int port, Path folder, String config, DiscoveryAgent agent) throws IOException {
@@ -87,9 +88,15 @@
     }
 
     void setCrowded(boolean value) {
+        crowds += value ? 1 : 0;
         crowded = value;
     }
 
+    /** Returns how many crowds of idle clients there have been. */
+    int crowds() {
+        return crowds;
+    }
+
     /** Returns whether the process is down after SIGKILL without SIGTERM before. */
     boolean isKilled() {
         return killed;
