--- a/flight/src/main/java/holdmux/flight/FlightUpstream.java
+++ b/flight/src/main/java/holdmux/flight/FlightUpstream.java
@@ -16,6 +16,7 @@
 import holdmux.core.UpdateResult;
 import holdmux.core.Upstream;
 import holdmux.decision.SplitterApi.Outcome;
+import holdmux.decision.SplitterApi.Role;
 import holdmux.statement.Statement;
 import io.grpc.Status;
 import io.netty.channel.EventLoopGroup;
@@ -136,9 +137,20 @@
         void finish() {
             timeouts.forEach(services.deadlines()::cancel);
             if (!ownedByTable) {
+                reportLostStatus();
                 releaseConnection(connection, reusable);
             }
         }
+
+        /** Reports what the server stated in an answer that was not read to its end, or that it may have stated something. */
+        private void reportLostStatus() {
+            Reply status = serverStatus.toReply(Outcome.OK);
+            if (!reusable && status.role() != Role.UNKNOWN) {
+                services.balancer().statusListener().stated(attempt.serverId, attempt.startedAt, status);
+            } else if (!reusable && attempt.isWritten()) {
+                services.balancer().statusListener().missed(attempt.serverId);
+            }
+        }
     }
 
     /** What is done on a connection; exceptions become the attempt's reply. */
@@ -290,11 +302,12 @@
                     return new AttemptResult(reply, ipc.readScalar(messages));
                 }
                 handedOver = true; // its messages stay in the memory budget until the table is closed
-                return new AttemptResult(reply, new TableResult(messages, null, complete -> messages.forEach(call::release)));
+                return new AttemptResult(reply, TableResult.received(messages, complete -> messages.forEach(call::release)));
             }
             handedOver = true;
             exchange.ownedByTable = true;
-            return new AttemptResult(reply, new TableResult(messages, call, complete -> releaseConnection(exchange.connection, complete)));
+            return new AttemptResult(reply, new TableResult(messages, call,
+                    () -> exchange.serverStatus.toReply(Outcome.OK), complete -> releaseConnection(exchange.connection, complete)));
         } finally {
             if (!handedOver) {
                 messages.forEach(call::release);
--- a/flight/src/main/java/holdmux/flight/TableResult.java
+++ b/flight/src/main/java/holdmux/flight/TableResult.java
@@ -1,11 +1,13 @@
 package holdmux.flight;
 
 import holdmux.core.QueryResult;
+import holdmux.core.Reply;
 import io.grpc.Status;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Supplier;
 
 /** A table as FlightData messages: those already received, and the call that delivers the rest (null if all were received). */
 final class TableResult implements QueryResult {
@@ -17,6 +19,7 @@
 
     private final Deque<byte[]> received;
     private final UpstreamCall<?, byte[]> call;
+    private final Supplier<Reply> status;
     private final CloseListener closeListener;
     /** The last two messages returned; both may still be queued for writing. */
     private byte[] last, previous;
@@ -24,13 +27,24 @@
 
     /** A completely received table that holds no memory reservation. */
     TableResult(List<byte[]> messages) {
-        this(messages, null, w -> { });
+        this(messages, null, () -> null, w -> { });
     }
 
-    /** {@code received} are messages of the call that have been read but not relayed yet. */
-    TableResult(List<byte[]> received, UpstreamCall<?, byte[]> call, CloseListener closeListener) {
+    /** Returns a completely received table whose messages hold memory until it is closed. */
+    static TableResult received(List<byte[]> messages, CloseListener closeListener) {
+        return new TableResult(messages, null, () -> null, closeListener);
+    }
+
+    /**
+     * Creates a table that is received as it is relayed.
+     *
+     * @param received messages of the call that have been read but not relayed yet
+     * @param status tells what the server has stated of itself so far, in the call's headers or trailers
+     */
+    TableResult(List<byte[]> received, UpstreamCall<?, byte[]> call, Supplier<Reply> status, CloseListener closeListener) {
         this.received = new ArrayDeque<>(received);
         this.call = call;
+        this.status = status;
         this.closeListener = closeListener;
     }
 
@@ -73,6 +87,16 @@
         }
     }
 
+    @Override
+    public boolean isStatusPending() {
+        return call != null;
+    }
+
+    @Override
+    public Reply statusBehind() {
+        return complete ? status.get() : null;
+    }
+
     private void releaseMessage(byte[] message) {
         if (message != null && call != null) {
             call.release(message);
--- a/pooler/src/main/java/holdmux/Pooler.java
+++ b/pooler/src/main/java/holdmux/Pooler.java
@@ -44,7 +44,7 @@
         services = new Services(config, balancer, new Admission(balancer::deployment, registry), registry, clock, deadlines,
                 counters, workers, otherProcess, slots);
         Upstreams upstreams = new Upstreams(registry, new PgUpstream(config.caps(), registry, clock, deadlines, counters,
-                balancer::deployment, otherProcess, slots));
+                balancer::deployment, otherProcess, slots, balancer.statusListener()));
         for (Extension extension : extensions) {
             if (!extension.kinds().isEmpty()) {
                 upstreams.add(extension.kinds(), extension.upstream(services));
--- a/pooler/src/main/java/holdmux/core/Attempt.java
+++ b/pooler/src/main/java/holdmux/core/Attempt.java
@@ -98,6 +98,11 @@
         guard.onWritten();
     }
 
+    /** Whether the last byte has been written, so that the server may have processed the request. */
+    public synchronized boolean isWritten() {
+        return written;
+    }
+
     /** Records how the attempt ended. */
     synchronized void recordOutcome(Outcome outcome) {
         neverRan = outcome.neverRan;
--- a/pooler/src/main/java/holdmux/core/Balancer.java
+++ b/pooler/src/main/java/holdmux/core/Balancer.java
@@ -27,6 +27,7 @@
 import holdmux.decision.SplitterApi.Remark;
 import holdmux.decision.SplitterApi.RespondError;
 import holdmux.decision.SplitterApi.Retract;
+import holdmux.decision.SplitterApi.Role;
 import holdmux.decision.SplitterApi.RoleChanged;
 import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.decision.SplitterApi.Schedule;
@@ -69,6 +70,8 @@
     private LongFunction<Upstream> upstreams;
     private WriteListener writeListener = write -> { };
     private long lastId;
+    /** Whether any answer to a request has stated a role, so that one that is lost may have; written under the lock. */
+    private volatile boolean serversStateRoles;
     /** The decision module's version of the servers' roles; written under the lock. */
     private volatile long rolesVersion;
 
@@ -354,6 +357,24 @@
         }
     }
 
+    /** Returns the listener for what servers state outside of replies. */
+    public StatusListener statusListener() {
+        return new StatusListener() {
+            @Override
+            public void stated(long serverId, long askedAt, Reply status) {
+                submitEvent(new LateStatus(serverId, clock.now() - askedAt, 0, status.role(), status.positionNs(), status.report()));
+            }
+
+            @Override
+            public void missed(long serverId) {
+                if (serversStateRoles) {
+                    counters.count(Counter.STATUSES_MISSED);
+                    submitEvent(new StatusOverdue(serverId));
+                }
+            }
+        };
+    }
+
     private void submitEvent(Event event) {
         lock.lock();
         try {
@@ -393,6 +414,7 @@
             counters.count(outcomeCounter(reply.outcome()));
             attempt.recordOutcome(reply.outcome());
             request.finished |= reply.outcome() == Outcome.OK;
+            serversStateRoles |= reply.role() != Role.UNKNOWN;
             freshnessMonitor.answered(request, attempt, reply, clock.now());
             handleEvent(new Answered(request.id, attempt.serverId, attempt.number, request.finished, reply.outcome(),
                     clock.now() - attempt.startedAt, reply.role(), reply.positionNs(), reply.report()));
--- a/pooler/src/main/java/holdmux/pg/Answer.java
+++ b/pooler/src/main/java/holdmux/pg/Answer.java
@@ -233,6 +233,11 @@
         return sqlState;
     }
 
+    /** What the server has stated so far; the outcome has no meaning. */
+    Reply status() {
+        return status.toReply(Outcome.OK);
+    }
+
     /** Maps the answer to a request to an outcome, with the status that the server reported along with it. */
     Reply reply() {
         Outcome outcome = isServed() || isStreaming() ? Outcome.OK : sqlState == null ? Outcome.ERROR : switch (sqlState) {
@@ -250,7 +255,7 @@
             return status.toReply(Outcome.OK);
         }
         boolean full = SqlState.TOO_MANY_CONNECTIONS.equals(sqlState) || SqlState.CANNOT_CONNECT_NOW.equals(sqlState);
-        return Reply.of(full ? Outcome.FULL : Outcome.ERROR);
+        return status.toReply(full ? Outcome.FULL : Outcome.ERROR);
     }
 
     /** Writes the messages of a served answer followed by ReadyForQuery, which overwrites the bytes behind them in the buffer. */
--- a/pooler/src/main/java/holdmux/pg/PgUpstream.java
+++ b/pooler/src/main/java/holdmux/pg/PgUpstream.java
@@ -12,6 +12,7 @@
 import holdmux.core.Reply;
 import holdmux.core.ServerRegistry;
 import holdmux.core.ServerSlots;
+import holdmux.core.StatusListener;
 import holdmux.core.Upstream;
 import holdmux.decision.SplitterApi.Outcome;
 import holdmux.statement.BufferPool;
@@ -28,11 +29,11 @@
 
     /** Creates the upstream with a connection pool and buffers of its own. */
     public PgUpstream(Caps caps, ServerRegistry registry, Clock clock, Deadlines deadlines, Counters counters,
-            Supplier<Deployment> deployment, OtherProcess otherProcess, ServerSlots slots) {
+            Supplier<Deployment> deployment, OtherProcess otherProcess, ServerSlots slots, StatusListener statusListener) {
         this.clock = clock;
         // a buffer pool separate from the clients', so that slow clients cannot starve the server side
         servers = new ServerPool(registry, clock, deadlines, counters,
-                new BufferPool(caps.answerBytes(), otherProcess::present), deployment, slots);
+                new BufferPool(caps.answerBytes(), otherProcess::present), deployment, slots, statusListener);
     }
 
     @Override
--- a/pooler/src/main/java/holdmux/pg/ServerConnection.java
+++ b/pooler/src/main/java/holdmux/pg/ServerConnection.java
@@ -5,6 +5,7 @@
 import holdmux.core.Deadlines;
 import holdmux.core.IdleConnections;
 import holdmux.core.IdleConnections.Readiness;
+import holdmux.core.Reply;
 import holdmux.core.ServerStatus;
 import holdmux.statement.BufferPool;
 import holdmux.statement.SqlState;
@@ -16,6 +17,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.function.Consumer;
 
 /**
  * One blocking connection to a server, for one request at a time. It uses a channel instead of a Socket, since only a channel
@@ -37,14 +39,16 @@
     private final InetSocketAddress address;
     private final SocketChannel channel;
     private final BufferPool buffers;
+    private final Consumer<Reply> syncStatus;
     /** Whether a query was written since the connection was opened or last synchronized. */
     private boolean used;
     /** The query written behind the last answer, until its response is complete; null if there is none. */
     private SyncQuery pendingSync;
 
-    /** Creates a connection that is not opened yet. */
-    ServerConnection(long serverId, InetSocketAddress address, BufferPool buffers) throws IOException {
+    /** Creates a connection that is not opened yet; {@code syncStatus} is given what the response to a {@link SyncQuery} states. */
+    ServerConnection(long serverId, InetSocketAddress address, BufferPool buffers, Consumer<Reply> syncStatus) throws IOException {
         this.serverId = serverId;
+        this.syncStatus = syncStatus;
         this.address = address;
         this.buffers = buffers;
         channel = SocketChannel.open();
@@ -132,8 +136,11 @@
      * Reads a complete answer, or one up to the beginning of a long row. The buffer is acquired when the first bytes have
      * arrived; it stays with the answer, and the caller has to release it. If the connection breaks or stalls behind a served
      * row or an error, the answer is valid nevertheless.
+     *
+     * @param partialStatus is given what the server has stated whenever part of the answer has been read
      */
-    Answer receive(ServerStatus.ReportFormat reportFormat, Deadlines deadlines) throws IOException, ProtocolException {
+    Answer receive(ServerStatus.ReportFormat reportFormat, Deadlines deadlines, Consumer<Reply> partialStatus)
+            throws IOException, ProtocolException {
         byte[] header = new byte[MessageBuilder.HEADER_BYTES];
         int received = channel.read(ByteBuffer.wrap(header));
         Answer answer = new Answer(buffers.acquire(), reportFormat);
@@ -145,6 +152,7 @@
                 if (!in.hasRemaining()) {
                     throw ProtocolException.fatal(SqlState.PROTOCOL_VIOLATION, "answer exceeds the buffer");
                 }
+                partialStatus.accept(answer.status());
                 if (trailerDeadline == null && (answer.isServed() || answer.sqlState() != null)) {
                     trailerDeadline = deadlines.after(TRAILER_TIMEOUT_NS, this::close);
                 }
@@ -292,6 +300,7 @@
             case PENDING -> Readiness.NOT_YET;
             case UNEXPECTED -> Readiness.SURPLUS;
             case COMPLETE -> {
+                syncStatus.accept(pendingSync.status());
                 pendingSync = null;
                 yield Readiness.READY;
             }
--- a/pooler/src/main/java/holdmux/pg/ServerPool.java
+++ b/pooler/src/main/java/holdmux/pg/ServerPool.java
@@ -13,7 +13,9 @@
 import holdmux.core.ServerRegistry;
 import holdmux.core.ServerSlots;
 import holdmux.core.ServerStatus;
+import holdmux.core.StatusListener;
 import holdmux.decision.SplitterApi.Outcome;
+import holdmux.decision.SplitterApi.Role;
 import holdmux.statement.BufferPool;
 import holdmux.statement.SqlState;
 import java.io.IOException;
@@ -37,13 +39,15 @@
     private final Supplier<Deployment> deployment;
     private final ServerStatus.ReportFormat reportFormat;
     private final ServerSlots slots;
+    private final StatusListener statusListener;
     private final IdleConnections<ServerConnection> idle;
     /** Connections of long answers that are still to be streamed. */
     private final Map<Answer, ServerConnection> openStreams = new ConcurrentHashMap<>();
 
     ServerPool(ServerRegistry registry, Clock clock, Deadlines deadlines, Counters counters, BufferPool buffers,
-            Supplier<Deployment> deployment, ServerSlots slots) {
+            Supplier<Deployment> deployment, ServerSlots slots, StatusListener statusListener) {
         this.registry = registry;
+        this.statusListener = statusListener;
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
@@ -66,6 +70,7 @@
         ServerConnection connection = null;
         boolean reusable = false;
         boolean streaming = false;
+        StatementTracker tracker = new StatementTracker(statusListener, attempt.serverId, attempt.startedAt);
         try {
             connection = takeIdle(attempt);
             if (connection != null) {
@@ -91,7 +96,8 @@
                 return Reply.of(Outcome.MOOT);
             }
             attempt.markWritten();
-            Answer answer = connection.receive(reportFormat, deadlines);
+            tracker.queryWritten();
+            Answer answer = connection.receive(reportFormat, deadlines, tracker::partlyRead);
             boolean inTime = attempt.complete();
             reusable = inTime && answer.endedCleanly();
             if (answer.isStreaming() && !inTime) {
@@ -102,6 +108,9 @@
             if (streaming) {
                 openStreams.put(answer, connection);
             }
+            if (streaming || answer.endedWithReadyForQuery() || answer.status().role() != Role.UNKNOWN) {
+                tracker.answerTaken();
+            }
             return toReply.apply(answer);
         } catch (BufferPool.ExhaustedException e) {
             counters.count(Counter.OVER_CAPACITY);
@@ -109,6 +118,7 @@
         } catch (IOException | ProtocolException e) {
             return Reply.of(attempt.failDisconnected());
         } finally {
+            tracker.end();
             if (connection != null && !streaming) {
                 releaseConnection(connection, reusable);
             }
@@ -169,8 +179,9 @@
             connection.connect(waitNs);
             connection.sendStartup(new MessageBuilder(new byte[STARTUP_BYTES]).beginUntyped().put(MessageBuilder.PROTOCOL_3).put("user")
                     .put("holdmux").put("database").put("crm").put('\0').end().bytes());
-            Answer response = connection.receive(reportFormat, deadlines);
+            Answer response = connection.receive(reportFormat, deadlines, status -> { });
             buffers.release(response.buffer);
+            reportStatus(attempt.serverId, response.status());
             if (response.sqlState() == null && !response.endedWithReadyForQuery()) {
                 throw new IOException("the server sent more than its greeting");
             }
@@ -196,13 +207,20 @@
             return null;
         }
         try {
-            return new ServerConnection(serverId, address, buffers);
+            return new ServerConnection(serverId, address, buffers, status -> reportStatus(serverId, status));
         } catch (IOException e) {
             slots.release();
             throw e;
         }
     }
 
+    /** Reports what a greeting or the response to a {@link SyncQuery} states, if it denies that the server is the primary. */
+    private void reportStatus(long serverId, Reply status) {
+        if (status.role() == Role.REPLICA) {
+            statusListener.stated(serverId, clock.now(), status);
+        }
+    }
+
     /** Keeps a connection for reuse or closes it. */
     private void releaseConnection(ServerConnection connection, boolean reusable) {
         if (reusable && registry.acceptsWork(connection.serverId()) && connection.synchronize()) {
--- a/pooler/src/main/java/holdmux/pg/SyncQuery.java
+++ b/pooler/src/main/java/holdmux/pg/SyncQuery.java
@@ -1,6 +1,11 @@
 package holdmux.pg;
 
+import holdmux.core.Reply;
+import holdmux.core.ServerStatus;
+import holdmux.decision.SplitterApi.Outcome;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * A query without effect that is written behind each answer, and the parser of its response. A server answers the queries of
@@ -22,12 +27,16 @@
     /** Room for CommandComplete, ReadyForQuery and the ParameterStatus messages that a server sends with each answer. */
     private static final int MAX_RESPONSE_BYTES = 1_024;
 
+    /** Responses have no load report that is worth reading. */
+    private static final ServerStatus.ReportFormat NO_REPORT = new ServerStatus.ReportFormat(List.of(), 0);
+
     private static final ByteBuffer MESSAGE = new MessageBuilder(new byte[64]).begin('Q').put(COMMAND).end().bytes();
 
     /** Allocated with the first read, so that an idle connection holds none. */
     private ByteBuffer received;
     private int parsedBytes;
     private boolean hasCommandComplete, hasReadyForQuery;
+    private final ServerStatus status = new ServerStatus(NO_REPORT);
 
     /** Returns the Query message with the command, ready to be written. */
     static ByteBuffer message() {
@@ -53,6 +62,9 @@
             if (received.position() - parsedBytes < 1 + size) {
                 return Progress.PENDING;
             }
+            if (received.get(parsedBytes) == 'S') {
+                parseParameterStatus(parsedBytes + MessageBuilder.HEADER_BYTES, parsedBytes + 1 + size);
+            }
             parsedBytes += 1 + size;
             if (hasReadyForQuery) {
                 return parsedBytes == received.position() ? Progress.COMPLETE : Progress.UNEXPECTED;
@@ -61,6 +73,18 @@
         return received.hasRemaining() ? Progress.PENDING : Progress.UNEXPECTED;
     }
 
+    /** What the server stated in the response; the outcome has no meaning. */
+    Reply status() {
+        return status.toReply(Outcome.OK);
+    }
+
+    private void parseParameterStatus(int from, int to) {
+        String[] nameAndValue = new String(received.array(), from, to - from, StandardCharsets.UTF_8).split("\0");
+        if (nameAndValue.length == 2) {
+            status.put(nameAndValue[0], nameAndValue[1]);
+        }
+    }
+
     /** Notes a message of this type; false if it cannot be part of the response. */
     private boolean accept(char type) {
         switch (type) {
--- a/pooler/src/test/java/holdmux/pg/PoolerFixture.java
+++ b/pooler/src/test/java/holdmux/pg/PoolerFixture.java
@@ -73,6 +73,9 @@
     final Semaphore nextPiece = new Semaphore(0);
     /** Delays the second copy of the answer with this index until the next message on its connection has come; -1 for none. */
     volatile int copiedAnswer = -1;
+    private final List<Socket> serverConnections = new CopyOnWriteArrayList<>();
+    /** The role that the server states when a connection is opened, and in answer to a {@link SyncQuery}; null for none. */
+    volatile String greetingRole, syncRole;
     /** Runs before the server completes the startup of a connection. */
     volatile Runnable beforeGreeting = () -> { };
 
@@ -101,7 +104,7 @@
         OtherProcess otherProcess = new OtherProcess();
         ServerSlots slots = new ServerSlots(config.caps().servers(), otherProcess);
         balancer.setUpstreams(new Upstreams(registry, new PgUpstream(config.caps(), registry, clock, deadlines, counters,
-                balancer::deployment, otherProcess, slots))::forServer);
+                balancer::deployment, otherProcess, slots, balancer.statusListener()))::forServer);
         front = new PgFront(new Services(config, balancer, new Admission(balancer::deployment, registry), registry, clock,
                 deadlines, counters, workers, otherProcess, slots), ready);
         front.listen();
@@ -132,6 +135,7 @@
         try {
             while (true) {
                 Socket socket = server.accept();
+                serverConnections.add(socket);
                 Workers.newThread("scripted connection", () -> serveConnection(socket)).start();
             }
         } catch (IOException e) {
@@ -139,12 +143,19 @@
         }
     }
 
+    /** Closes the server's connections, so that the next request needs a new one. */
+    void closeServerConnections() throws IOException {
+        for (Socket socket : serverConnections) {
+            socket.close();
+        }
+    }
+
     private void serveConnection(Socket socket) {
         try (socket) {
             DataInputStream in = new DataInputStream(socket.getInputStream());
             in.readNBytes(in.readInt() - 4);
             beforeGreeting.run();
-            send(socket, m -> m.begin('R').put(0).end().readyForQuery());
+            send(socket, m -> status(m.begin('R').put(0).end(), greetingRole).readyForQuery());
             Consumer<MessageBuilder> delayedCopy = m -> { };
             while (in.read() == 'Q') {
                 int length = in.readInt() - 4;
@@ -158,7 +169,7 @@
                 send(socket, delayedCopy);
                 delayedCopy = m -> { };
                 if (query.equals(SyncQuery.COMMAND)) {
-                    send(socket, m -> m.begin('C').put(query).end().readyForQuery());
+                    send(socket, m -> status(m.begin('C').put(query).end(), syncRole).readyForQuery());
                 } else if (query.startsWith("SHOW")) {
                     send(socket, m -> AnswerTest.result(m, "x0=1,x1=1,inflight=0,util=0").readyForQuery());
                 } else {
@@ -181,6 +192,10 @@
         }
     }
 
+    private static MessageBuilder status(MessageBuilder message, String role) {
+        return role == null ? message : message.parameterStatus("replication_role", role);
+    }
+
     /** Sends one piece per permit; null at the end closes the connection. */
     private void sendPieces(Socket socket, byte[][] inPieces) throws IOException {
         for (byte[] piece : inPieces) {
--- a/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
+++ b/pooler/src/test/java/holdmux/pg/ServerConnectionTest.java
@@ -37,7 +37,7 @@
             InetSocketAddress address = new InetSocketAddress(loopback, silent.getLocalPort());
             fillQueue(address, queued);
             ServerConnection connection = new ServerConnection(1, address,
-                    new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false));
+                    new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false), status -> { });
             try (connection) {
                 // without another thread or a deadline, only the time-out passed to connect can end it
                 assertTimeoutPreemptively(Duration.ofSeconds(20),
@@ -64,12 +64,13 @@
         try (ServerSocket server = new ServerSocket(0, 1, loopback);
                 ServerConnection connection = new ServerConnection(1,
                         new InetSocketAddress(loopback, server.getLocalPort()),
-                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false))) {
+                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false), status -> { })) {
             connection.connect(5_000 * Clock.MS);
             try (Socket socket = server.accept()) {
                 socket.getOutputStream().write(notices);
                 assertTimeoutPreemptively(Duration.ofSeconds(20), () -> assertThrows(ProtocolException.class,
-                        () -> connection.receive(new ServerStatus.ReportFormat(List.of(), 0), new Deadlines(new Clock()))));
+                        () -> connection.receive(new ServerStatus.ReportFormat(List.of(), 0), new Deadlines(new Clock()),
+                                status -> { })));
             }
         }
     }
@@ -80,7 +81,7 @@
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         try (ServerSocket server = new ServerSocket(0, 1, loopback);
                 ServerConnection connection = new ServerConnection(1, new InetSocketAddress(loopback, server.getLocalPort()),
-                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false))) {
+                        new BufferPool(4 * BufferPool.BUFFER_SIZE, () -> false), status -> { })) {
             connection.connect(5_000 * Clock.MS);
             byte[] text = {'q'};
             assertTrue(connection.send(new QueryMessage(text), new Attempt(1, 0, 0, 1, () -> true), new Deadlines(new Clock())));
