A clock that is known to be behind the servers' clock makes replicas look older, not fresher

After a step of the wall clock backwards before its start, a pooler's now is too early for its whole life, and a replica that lags by more than the step passes as fresher by it. Positions ahead of now, which prove the step, were dropped in silence. Change: ClockLag keeps by how much two stores' positions were ahead (one alone proves nothing, and could be faulty); what bounded reads and reads of all data require moves on by it. Positions ahead of now are still not taken in. Measured: ReadRoutingTest.positionsAheadOfTheClockMakeReplicasLookOlder fails without the added lag (sent to the replica whose data are 0.4 s old, bound 0.2 s), passes with it; the module's tests pass. Not tried on real processes.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -279,6 +279,7 @@
     private long concurrencyAt;
     /** Age of a report when it arrives, learned from primaries, whose position is always current. */
     private double reportAgeNs;
+    private final ClockLag clockLag = new ClockLag();
     private long now;
     /** When the earliest timer is due, and when this process last stalled. */
     private long nextTimerAt = Long.MAX_VALUE, stalledAt;
@@ -477,8 +478,8 @@
     private long requiredPosition(OpenRequest request) {
         return switch (request.requestClass.consistency()) {
             case SESSION -> sessionToken(request, request.group.sessions.get(request.session));
-            case BOUNDED -> now - request.requestClass.boundNs();
-            case FRESH -> request.arrivedAt;
+            case BOUNDED -> now - request.requestClass.boundNs() + clockLag.confirmedNs();
+            case FRESH -> request.arrivedAt + clockLag.confirmedNs();
             default -> 0;
         };
     }
@@ -699,8 +700,9 @@
             return new ReadProof(ReadProof.Kind.POSITION, required, evidence.appliedPosition());
         }
         // what must be seen was written before the request arrived, and before the time that its bound allows
-        boolean isBounded = request.requestClass.consistency() == Consistency.BOUNDED;
-        if (evidence.isCurrentAsOf(isBounded ? required : request.arrivedAt)) {
+        RequestClass requestClass = request.requestClass;
+        boolean isBounded = requestClass.consistency() == Consistency.BOUNDED;
+        if (evidence.isCurrentAsOf(isBounded ? now - requestClass.boundNs() : request.arrivedAt)) {
             return new ReadProof(ReadProof.Kind.CURRENT, required, evidence.currentAsOf());
         }
         boolean isLeader = store == request.group.leader;
@@ -961,6 +963,7 @@
             rolesReported = true;
             markRoleCertain(store, role == Role.PRIMARY ? sentAt : statedAt);
         }
+        clockLag.observe(store.id, positionNs - now - MS);
         if (positionNs > 0 && positionNs <= now + MS) { // reported positions are rounded up
             store.evidence.reached(positionNs);
             if (role == Role.REPLICA && statedAt == now) {
@@ -1328,6 +1331,7 @@
         }
         float seconds = Math.nextDown(report[settings.positionField()]);
         long position = settings.zeroNs() + (long) (seconds * 1e9);
+        clockLag.observe(store.id, position - now);
         if (position > now) {
             return;
         }
--- a/pooler/src/test/java/holdmux/decision/ReadRoutingTest.java
+++ b/pooler/src/test/java/holdmux/decision/ReadRoutingTest.java
@@ -92,6 +92,18 @@
         assertEquals(1, f.sentToAfterProbes(100, arrival(1, BOUNDED_READ, 0)));
     }
 
+    /** Guards against a clock that was stepped back before the start: replicas look fresher by it than they are. */
+    @Test
+    void positionsAheadOfTheClockMakeReplicasLookOlder() {
+        SplitterFixture f = new SplitterFixture(settings(Guards.OFF, true), 3).withThreeStores();
+        f.advance(5, f.probeOk(3, 100, false));
+        assertEquals(3, lastTarget(f.advance(5, arrival(1, BOUNDED_READ, 0))));
+        f.advance(5, f.answered(1, 0, 3, Outcome.OK, Role.REPLICA, 0), f.probeOk(1, -300, true));
+        assertEquals(3, lastTarget(f.advance(5, arrival(2, BOUNDED_READ, 0))), "one store alone proves nothing");
+        f.advance(5, f.answered(2, 0, 3, Outcome.OK, Role.REPLICA, 0), f.probeOk(2, -280, false));
+        assertNotEquals(3, lastTarget(f.advance(5, arrival(3, BOUNDED_READ, 0))), "its data are 0.4 s old");
+    }
+
     @Test
     void missSendsTheReadElsewhereAndKeepsOtherReadsAway() {
         SplitterFixture f = new SplitterFixture(settings(Guards.REFUSE, true), 3).withThreeStores();
