--- a/flight/src/test/java/holdmux/flight/FlightFrontTest.java
+++ b/flight/src/test/java/holdmux/flight/FlightFrontTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import holdmux.core.Counters.Counter;
+import holdmux.decision.SplitterApi.Role;
+import holdmux.decision.SplitterApi.RoleObserved;
 import holdmux.standins.Fault;
 import holdmux.standins.Fault.Kind;
 import holdmux.standins.Fault.Phase;
@@ -249,6 +251,25 @@
         }
     }
 
+    /** Guards against a former primary that is trusted on, although it stated its new role behind the table that it was sending. */
+    @Test
+    void theRoleBehindATableCounts() throws Exception {
+        try (FlightFixture fixture = new FlightFixture(StandIns.FLIGHT_KIND); FlightSqlClient client = fixture.connect()) {
+            assertEquals(FlightFixture.SERVED, fixture.queryFlight(writeStatement("w1", 1_500)));
+            String fresh = ratesQuery("r1", "400x2000").replace("c=history", "c=quote-check");
+            try (FlightStream table = client.getStream(ticket(client.execute(fresh)))) {
+                assertTrue(table.next());
+                assertEquals(List.of("s-1"), fixture.standIns.group().executedOn("r1"));
+                fixture.standIns.group().promote("s-2");
+                while (table.next()) {
+                    // up to the trailers, which state the role
+                }
+            }
+            FlightFixture.await(() -> fixture.pooler.services().balancer().roles().known().stream().map(RoleObserved::role)
+                    .noneMatch(Role.PRIMARY::equals));
+        }
+    }
+
     /** Calls over the limit are refused immediately and run nothing; later calls succeed once others have ended. */
     @Test
     void callsOverTheLimitAreRefusedImmediately() throws Exception {
