A report from before a server's pause no longer makes the belief in its role suffice

Found by rereading: the belief permits a read whose data must be more recent than reports usually show, and the usual age of reports was a mean. A primary that stood still for 20 s and came back reports its position from before; one such report in ten raised the mean by 2 s, and for the next dozens of reports bounded reads went by the belief again. Change: a report counts as at most 4 times as old as usual (250 ms at least) when the usual age is learned.

--- a/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
+++ b/pooler/src/main/java/holdmux/decision/ReadWriteSplitter.java
@@ -78,6 +78,9 @@
      * and only if it was proved within the longer of the two further times. */
     private static final double REPORT_AGES = 2, ROLE_REPORT_AGES = 3;
     private static final long MIN_ROLE_AGE_NS = 250 * MS;
+    /** A report counts as at most this many times as old as usual when the usual age is learned, and as 250 ms old
+     * in any case. */
+    private static final double MAX_REPORT_AGE_FACTOR = 4;
     /** Safety margin before the end of a deduplication window, and its largest share of the window: a store that pauses
      * takes a message later than it was sent, although the system has received it. */
     private static final long DEDUP_MARGIN_NS = 400 * MS, DEDUP_MARGIN_DIVISOR = 4;
@@ -1342,7 +1345,7 @@
         store.evidence.reached(position);
         boolean primary = settings.primaryField() >= 0 && report[settings.primaryField()] == 1f;
         if (primary && statedRole != Role.REPLICA) {
-            reportAgeNs += (reportAgeNs == 0 ? 1 : EWMA_ALPHA) * (now - position - reportAgeNs);
+            updateReportAge(now - position);
             markLeader(store, Math.max(position, 1));
             markRoleCertain(store, position);
         } else if (!primary && statedRole != Role.PRIMARY) {
@@ -1359,6 +1362,13 @@
         }
     }
 
+    /** Learns the usual age of reports. The first one of a store that stood still is as old as its pause. */
+    private void updateReportAge(long ageNs) {
+        double longestNs = Math.max(MIN_ROLE_AGE_NS, MAX_REPORT_AGE_FACTOR * reportAgeNs);
+        reportAgeNs = reportAgeNs == 0 ? ageNs
+                : reportAgeNs + EWMA_ALPHA * (Math.min(ageNs, longestNs) - reportAgeNs);
+    }
+
     private static double reportField(float[] report, int index) {
         return index >= 0 && index < report.length ? report[index] : 0;
     }
--- a/pooler/src/test/java/holdmux/decision/ReadProofTest.java
+++ b/pooler/src/test/java/holdmux/decision/ReadProofTest.java
@@ -117,6 +117,20 @@
         assertEquals(Role.REPLICA, f.splitter.roles().get(0).role());
     }
 
+    /** Guards against a primary whose first report behind a long pause makes all reports pass for useless. */
+    @Test
+    void aReportFromBeforeALongPauseDoesNotMakeTheRoleSuffice() {
+        provePrimary(false);
+        f.advance(0, f.answered(1, 0, 1, Outcome.OK, Role.PRIMARY, 0));
+        for (int i = 0; i < 5; i++) {
+            f.advance(200, f.probeOk(1, 60, true));
+        }
+        f.advance(200, f.probeOk(1, 20_000, true));
+        List<Action> out = f.advance(30, arrival(2, BOUNDED_READ, 0));
+        assertEquals(List.of(), transmits(out));
+        assertTrue(out.contains(new Inspect(1)));
+    }
+
     /** A session's read is served by the store that answered its write, without a probe. */
     @Test
     void theAnswerToAWriteProvesItsPosition() {
