Flight: what a plan states of its server's role counts before the read is fetched

Cause: a read is checked again behind its plan, which opens the connection. Change: they are reported when they are read. Measured: OutdatedReadTest.whatAPlanStatesIsKnownWhenItsReadIsCheckedAgain fails without it, passes with it; ParityTest and the Flight test of trailing roles pass.

--- a/flight/src/main/java/holdmux/flight/FlightUpstream.java
+++ b/flight/src/main/java/holdmux/flight/FlightUpstream.java
@@ -142,12 +142,19 @@
             }
         }
 
+        /** Reports what the server has stated so far; returns whether it has stated its role. */
+        boolean reportStatus() {
+            Reply status = serverStatus.toReply(Outcome.OK);
+            if (status.role() == Role.UNKNOWN) {
+                return false;
+            }
+            services.balancer().statusListener().stated(attempt.serverId, attempt.startedAt, status);
+            return true;
+        }
+
         /** Reports what the server stated in an answer that was not read to its end, or that it may have stated something. */
         private void reportLostStatus() {
-            Reply status = serverStatus.toReply(Outcome.OK);
-            if (!reusable && status.role() != Role.UNKNOWN) {
-                services.balancer().statusListener().stated(attempt.serverId, attempt.startedAt, status);
-            } else if (!reusable && attempt.isWritten()) {
+            if (!reusable && !reportStatus() && attempt.isWritten()) {
                 services.balancer().statusListener().missed(attempt.serverId);
             }
         }
@@ -277,6 +284,7 @@
         if (info.getEndpointCount() != 1 || info.getEndpoint(0).getLocationCount() > 0) {
             throw new UnsupportedResultException(); // a table at other locations is not an answer of this server
         }
+        exchange.reportStatus(); // what the plan states of the role counts for the check below
         if (!write && !exchange.attempt.mayWrite()) { // planning established the connection, which may have taken long
             services.counters().count(Counter.SENDS_OUTDATED);
             exchange.attempt.complete();
